--- /dev/null
+++ b/tests/policy_test.cpp
@@ -0,0 +1,854 @@
+#include "vetchhinge/policy.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <stdexcept>
+#include <string>
+
+#include "recent.h"
+
+std::vector<vetchhinge::Action> first_step();  // the README's example
+
+namespace vetchhinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t kSafe = 0;
+constexpr std::uint32_t kKeyed = 1;
+constexpr std::uint32_t kOnce = 2;
+constexpr std::uint32_t kInTurn = 3;
+
+Settings settings() {
+  Settings s;
+  s.seed = 11;
+  s.slots = 16;
+  s.max_open = 200;
+  s.max_attempts = 5;
+  s.wait_hints = true;
+  s.start_capacity = 0.2;
+  s.overload_factor = 2;
+  s.overload_for = 3s;
+  s.warm_after = 10s;
+  s.max_wait_hint = 2s;
+  s.connection_idle = 10s;
+  s.order_settle = 100ms;
+  s.list_within = 10s;
+  s.tick = 5ms;
+  s.classes = {{.aim = 2s, .deadline = 20s, .effect = Effect::idempotent, .late_worth = 0.5},
+               {.aim = 2s, .deadline = 20s, .window = 5s, .effect = Effect::deduplicated, .late_worth = 0.5},
+               {.aim = 2s, .deadline = 20s, .effect = Effect::at_most_once, .worth = 5, .late_worth = 0.5},
+               {.aim = 2s,
+                .deadline = 20s,
+                .window = 15s,
+                .effect = Effect::deduplicated,
+                .in_turn = true,
+                .late_worth = 0.5}};
+  s.kinds = {{}, {.batch = 4}};
+  return s;
+}
+
+// Drives one Sender and keeps what it did.
+class Relay {
+ public:
+  explicit Relay(Settings s = settings(), std::uint32_t hosts = 1, std::uint32_t kind = 0) : sender_(s) {
+    HostList list;
+    for (std::uint32_t i = 0; i < hosts; ++i)
+      list.entries.push_back({HostId(i), DestinationId(1), ZoneId(0), kind});
+    step({list});
+  }
+
+  std::vector<Action> step(std::vector<Event> events) {
+    auto actions = sender_.step(now, events);
+    for (const Action& a : actions) {
+      if (const auto* s = std::get_if<Send>(&a)) {
+        sends.push_back({now, *s});
+        ++attempts_[s->id];
+        pending.insert(static_cast<std::uint32_t>(s->id));
+      }
+      if (const auto* r = std::get_if<Refuse>(&a)) refused.push_back(*r);
+      if (const auto* f = std::get_if<Fail>(&a)) failed.push_back(f->id);
+      if (std::holds_alternative<CloseIdle>(a)) ++closed;
+      if (const auto* t = std::get_if<SetTimer>(&a)) timers.push_back(now + t->after);
+    }
+    return actions;
+  }
+
+  void run_for(Duration d) {
+    for (const Time end = now + d; now < end;) {
+      now += 10ms;
+      step({});
+    }
+  }
+
+  std::vector<Action> take(std::uint32_t id, std::uint32_t cls = kSafe, std::optional<std::uint64_t> key = {},
+                           DestinationId destination = DestinationId(1)) {
+    return step({message(id, cls, key, destination)});
+  }
+
+  Message message(std::uint32_t id, std::uint32_t cls = kSafe, std::optional<std::uint64_t> key = {},
+                  DestinationId destination = DestinationId(1)) const {
+    return {MessageId(id), cls, destination, now + 20s, std::nullopt, key};
+  }
+
+  Outcome outcome(std::uint32_t id, Result result, Duration wait = 0us) {
+    const auto last = static_cast<std::uint32_t>(attempts_.at(MessageId(id)) - 1);
+    pending.erase(id);
+    return {MessageId(id), last, result, result == Result::delivered, wait, 100ms, std::nullopt};
+  }
+  void end(std::uint32_t id, Result result, Duration wait = 0us) { step({outcome(id, result, wait)}); }
+
+  int sent(std::uint32_t id) const {
+    return attempts_.contains(MessageId(id)) ? attempts_.at(MessageId(id)) : 0;
+  }
+
+  Time now{};
+  struct Sent {
+    Time at;
+    Send send;
+  };
+  std::vector<Sent> sends;
+  std::vector<Refuse> refused;
+  std::vector<MessageId> failed;
+  int closed = 0;
+  std::vector<Time> timers;
+  std::set<std::uint32_t> pending;  // sent, and not answered yet
+
+ private:
+  Sender sender_;
+  std::map<MessageId, int> attempts_;
+};
+
+HostList change(HostState state, std::uint32_t host = 0) {
+  HostList list{HostList::Kind::changes, {}};
+  list.entries.push_back({HostId(host), DestinationId(1), ZoneId(0), 0, state, std::nullopt});
+  return list;
+}
+
+// Both calls of the one host fail: its circuit opens and it counts as having had an outage.
+void break_host(Relay& r, std::uint32_t id, Result result = Result::connect_failed) {
+  for (int i = 0; i < 2; ++i) {
+    r.take(id + static_cast<std::uint32_t>(i));
+    r.run_for(200ms);
+    const std::uint32_t m = id + static_cast<std::uint32_t>(i);
+    r.step({r.outcome(m, result), Withdrawn{MessageId(m)}});
+  }
+}
+
+// Steady traffic, each call answered after 50 ms.
+void steady(Relay& r, std::uint32_t& id, Duration d, Duration between, Duration latency = 50ms) {
+  std::vector<std::pair<Time, std::uint32_t>> out;
+  for (const std::uint32_t m : r.pending) out.emplace_back(r.now + latency, m);
+  std::size_t seen = r.sends.size();
+  Time next = r.now;
+  for (const Time end = r.now + d; r.now < end; r.now += 10ms) {
+    std::vector<Event> events;
+    for (const auto& [due, m] : out) {
+      if (due <= r.now) events.push_back(r.outcome(m, Result::delivered));
+    }
+    std::erase_if(out, [&](const auto& o) { return o.first <= r.now; });
+    for (; next <= r.now; next += between) events.push_back(r.message(id++));
+    r.step(events);
+    for (; seen < r.sends.size(); ++seen) {
+      out.emplace_back(r.now + latency, static_cast<std::uint32_t>(r.sends[seen].send.id));
+    }
+  }
+  r.now += latency;
+  std::vector<Event> rest;
+  for (const auto& o : out) rest.push_back(r.outcome(o.second, Result::delivered));
+  r.step(rest);
+}
+
+// ---------------------------------------------------------------- rule 1: one final answer
+TEST(FinalAnswer, HeldWorkExpiresUnsentBeforeItsDeadline) {
+  Relay r;
+  r.step({change(HostState::gone)});
+  r.take(1);
+  r.run_for(19900ms);
+  EXPECT_TRUE(r.failed.empty());
+  r.run_for(95ms);
+  EXPECT_EQ(r.failed, std::vector{MessageId(1)});
+  EXPECT_EQ(r.sent(1), 0);
+  r.run_for(1s);
+  EXPECT_EQ(r.failed.size(), 1U);
+}
+
+TEST(FinalAnswer, WorkInFlightIsAnsweredBeforeItsDeadlineToo) {
+  Relay r;
+  r.take(1, kOnce);
+  r.run_for(20s);
+  EXPECT_EQ(r.failed, std::vector{MessageId(1)});
+  r.end(1, Result::timed_out);
+  r.run_for(1s);
+  EXPECT_EQ(r.failed.size(), 1U);
+  EXPECT_TRUE(r.refused.empty());
+}
+
+TEST(FinalAnswer, NothingAfterWithdrawalOrDelivery) {
+  Relay r;
+  r.take(1);
+  r.take(2);
+  r.step({Withdrawn{MessageId(1)}, r.outcome(2, Result::delivered), Withdrawn{MessageId(2)}});
+  r.end(1, Result::connect_failed);
+  r.run_for(21s);
+  EXPECT_EQ(r.sent(1), 1);
+  EXPECT_EQ(r.sent(2), 1);
+  EXPECT_TRUE(r.failed.empty());
+  EXPECT_TRUE(r.refused.empty());
+}
+
+TEST(FinalAnswer, SpentAttemptsThatNeverRanEndInARefusal) {
+  Settings s = settings();
+  s.max_attempts = 2;
+  Relay r(s);
+  r.take(1, kOnce);
+  r.end(1, Result::not_sent);
+  r.run_for(1s);
+  ASSERT_EQ(r.sent(1), 2);
+  r.end(1, Result::not_sent);
+  ASSERT_EQ(r.refused.size(), 1U);
+  EXPECT_GT(r.refused[0].wait, 0us);
+}
+
+// ---------------------------------------------------------------- rule 2: no effect twice
+TEST(Effects, WorkThatMayHaveRunOnceIsNeitherSentNorRefusedAgain) {
+  for (const Result result : {Result::timed_out, Result::error, Result::reset, Result::cancelled}) {
+    Relay r;
+    r.take(1, kOnce);
+    r.end(1, result);
+    r.run_for(3s);
+    EXPECT_EQ(r.sent(1), 1);
+    EXPECT_TRUE(r.refused.empty());
+    EXPECT_EQ(r.failed, std::vector{MessageId(1)});
+  }
+}
+
+TEST(Effects, WorkThatNeverRanIsSentAgain) {
+  for (const Result result : {Result::full, Result::connect_failed, Result::not_sent}) {
+    Relay r;
+    r.take(1, kOnce);
+    r.end(1, result);
+    r.run_for(3s);
+    EXPECT_EQ(r.sent(1), 2);
+  }
+}
+
+TEST(Effects, KeyedWorkIsRepeatedOnlyWithinTheWindow) {
+  Relay r;
+  r.take(1, kKeyed);
+  r.run_for(2s);
+  r.end(1, Result::timed_out);
+  r.run_for(2s);
+  EXPECT_EQ(r.sent(1), 2);  // 4 s after the first send: inside
+  r.run_for(1500ms);
+  r.end(1, Result::full);
+  r.run_for(5s);
+  EXPECT_EQ(r.sent(1), 2);
+  EXPECT_TRUE(r.refused.empty());
+  EXPECT_EQ(r.failed, std::vector{MessageId(1)});
+}
+
+TEST(Effects, KeyedWorkHeldOverTheEndOfItsWindowFails) {
+  Relay r;
+  r.take(1, kKeyed);
+  r.end(1, Result::timed_out);
+  r.step({change(HostState::gone)});
+  r.run_for(4500ms);
+  EXPECT_TRUE(r.failed.empty());
+  r.run_for(600ms);
+  EXPECT_EQ(r.failed, std::vector{MessageId(1)});
+}
+
+TEST(Effects, KeyedWorkOfOneZoneStaysThere) {
+  Settings s = settings();
+  s.classes[kKeyed].scope = KeyScope::zone;
+  Relay r(s, 0);
+  HostList list;
+  list.entries = {{HostId(0), DestinationId(1), ZoneId(0), 0, HostState::running, std::nullopt},
+                  {HostId(1), DestinationId(1), ZoneId(1), 0, HostState::running, std::nullopt}};
+  r.step({list});
+  r.take(1, kKeyed);
+  const HostId first = r.sends[0].send.host;
+  r.end(1, Result::error);
+  r.step({change(HostState::gone, static_cast<std::uint32_t>(first))});
+  r.run_for(3s);
+  EXPECT_EQ(r.sent(1), 1);
+}
+
+// ---------------------------------------------------------------- rule 3: drains
+TEST(Drains, NothingNewGoesToADrainingOrGoneHost) {
+  for (const HostState state : {HostState::draining, HostState::gone}) {
+    Relay r(settings(), 2);
+    r.step({change(state, 0)});
+    for (std::uint32_t i = 1; i < 6; ++i) r.take(i);
+    ASSERT_FALSE(r.sends.empty());
+    for (const auto& s : r.sends) EXPECT_EQ(s.send.host, HostId(1));
+  }
+}
+
+TEST(Drains, AHostMissingFromAWholeListIsGone) {
+  Relay r(settings(), 2);
+  HostList list;
+  list.entries.push_back({HostId(1), DestinationId(1)});
+  r.step({list});
+  for (std::uint32_t i = 1; i < 6; ++i) r.take(i);
+  ASSERT_FALSE(r.sends.empty());
+  for (const auto& s : r.sends) EXPECT_EQ(s.send.host, HostId(1));
+}
+
+TEST(Drains, TheListIsAskedForAtStartAndAgainAfterALoss) {
+  Settings s = settings();
+  s.list_on_request = true;
+  Sender sender(s);
+  const auto asks = [&](Time now, std::vector<Event> events) {
+    const auto actions = sender.step(now, events);
+    return std::count_if(actions.begin(), actions.end(),
+                         [](const Action& a) { return std::holds_alternative<WatchList>(a); });
+  };
+  EXPECT_EQ(asks(Time(0s), {HostList{HostList::Kind::cached, {}}}), 1);
+  EXPECT_EQ(asks(Time(100ms), {HostList{HostList::Kind::whole, {}}}), 0);
+  EXPECT_EQ(asks(Time(60s), {}), 0);
+  EXPECT_EQ(asks(Time(61s), {HostList{HostList::Kind::lost, {}}}), 0);
+  int again = 0;
+  for (Time t = Time(61s); t < Time(63s); t += 50ms) again += static_cast<int>(asks(t, {}));
+  EXPECT_EQ(again, 1);
+}
+
+// ---------------------------------------------------------------- rule 4: returning destinations
+TEST(Returning, AnOpenCircuitGetsSingleCalls) {
+  Relay r;
+  break_host(r, 1);
+  const std::size_t before = r.sends.size();
+  for (std::uint32_t i = 10; i < 30; ++i) r.take(i);
+  r.run_for(3s);
+  EXPECT_EQ(r.sends.size(), before + 1);  // one, unanswered, and nothing beside it
+}
+
+// Connections break by chance too, above all those that lay idle: that alone is no outage.
+TEST(Returning, TwoResetsOpenNoCircuit) {
+  Relay relay;
+  relay.take(1);
+  relay.end(1, Result::delivered);
+  for (std::uint32_t id = 2; id <= 4; ++id) {  // the first of them on the connection that lay idle
+    relay.now += 1s;
+    relay.take(id, kOnce);
+    ASSERT_EQ(relay.sent(id), 1);
+    relay.end(id, Result::reset);
+  }
+  relay.now += 10ms;
+  relay.step({relay.message(10), relay.message(11)});
+  EXPECT_EQ(relay.sent(10) + relay.sent(11), 2);
+}
+
+TEST(Returning, AColdHostIsFedOnABudget) {
+  Relay r;
+  std::uint32_t id = 1000;
+  steady(r, id, 20s, 100ms);  // ten calls a second
+  break_host(r, 1);
+  std::uint32_t held = 10;
+  for (; held < 70; ++held) r.take(held);
+  r.run_for(2s);
+  // The next call is answered: the host is back. 0.2 x 2 of the usual ten a second, and a little growth.
+  const std::size_t before = r.sends.size();
+  steady(r, id, 3s, 1s);
+  EXPECT_LE(r.sends.size() - before, 24U);
+  EXPECT_GE(r.sends.size() - before, 6U);
+}
+
+TEST(Returning, TheUsualRateIsKeptThroughALongOutage) {
+  Relay r;
+  std::uint32_t id = 1000;
+  steady(r, id, 20s, 100ms);
+  for (std::uint32_t i = 1; i < 20; ++i) r.take(i);
+  for (int i = 0; i < 1500; ++i) {  // 15 s in which every call fails at once
+    std::vector<Event> events;
+    r.now += 10ms;
+    for (const std::uint32_t m : std::set(r.pending)) events.push_back(r.outcome(m, Result::connect_failed));
+    r.step(events);
+  }
+  for (std::uint32_t i = 10; i < 50; ++i) r.take(i);
+  const std::size_t before = r.sends.size();
+  steady(r, id, 5s, 1s);
+  EXPECT_GE(r.sends.size() - before, 15U);
+}
+
+// ---------------------------------------------------------------- rule 5: order
+TEST(Order, OneAtATimeInTheOrderTaken) {
+  Relay r;
+  for (std::uint32_t i = 1; i <= 3; ++i) r.take(i, kInTurn, 77);
+  r.take(4, kInTurn, 78);
+  EXPECT_EQ(r.sent(1), 1);
+  EXPECT_EQ(r.sent(2) + r.sent(3), 0);
+  EXPECT_EQ(r.sent(4), 1);
+  r.end(1, Result::delivered);
+  EXPECT_EQ(r.sent(2), 1);
+  EXPECT_EQ(r.sent(3), 0);
+}
+
+TEST(Order, AKeyRestsAfterATimeOut) {
+  Relay r;
+  r.take(1, kInTurn, 77);
+  r.take(2, kInTurn, 77);
+  r.step({Withdrawn{MessageId(1)}});
+  r.run_for(50ms);
+  EXPECT_EQ(r.sent(2), 0);  // an attempt of the withdrawn one is still out
+  r.end(1, Result::timed_out);
+  r.run_for(90ms);
+  EXPECT_EQ(r.sent(2), 0);
+  r.run_for(1s);
+  EXPECT_EQ(r.sent(2), 1);
+}
+
+// Two messages of a key that ended in one step used to leave a key that was no longer there.
+TEST(Order, SeveralOfAKeyMayEndTogether) {
+  Relay r;
+  for (std::uint32_t i = 1; i <= 3; ++i) r.take(i, kInTurn, 77);
+  r.step({Withdrawn{MessageId(2)}, Withdrawn{MessageId(3)}, r.outcome(1, Result::delivered)});
+  r.take(4, kInTurn, 77);
+  EXPECT_EQ(r.sent(4), 1);
+}
+
+// ---------------------------------------------------------------- rule 6: waits
+TEST(Waits, BindEveryMessageToTheDestination) {
+  Relay r(settings(), 2);
+  r.take(1);
+  r.end(1, Result::full, 700ms);
+  for (std::uint32_t i = 2; i < 8; ++i) r.take(i);
+  r.run_for(700ms);
+  EXPECT_EQ(r.sends.size(), 1U);
+  r.run_for(300ms);
+  EXPECT_GT(r.sends.size(), 1U);
+}
+
+// Messages of one call were told different waits, and only the first was heeded.
+TEST(Waits, TheLongestOfOneCallBinds) {
+  Relay r(settings(), 1, 1);
+  r.step({r.message(1), r.message(2), r.message(3), r.message(4)});
+  ASSERT_EQ(r.sends.size(), 4U);
+  r.step({r.outcome(1, Result::full), r.outcome(2, Result::full, 1500ms), r.outcome(3, Result::full, 100ms),
+          r.outcome(4, Result::full)});
+  r.run_for(1500ms);
+  EXPECT_EQ(r.sends.size(), 4U);
+}
+
+// ---------------------------------------------------------------- the mechanism
+TEST(Cap, StaysUnderThreeQuartersOfTheSlots) {
+  Relay r;
+  std::uint32_t id = 1;
+  for (int round = 0; round < 60; ++round) {  // always more work than the cap, all of it healthy
+    std::vector<Event> events;
+    for (std::uint32_t i = 0; i < 16; ++i) events.push_back(r.message(id++));
+    const std::size_t before = r.sends.size();
+    r.step(events);
+    EXPECT_LE(r.sends.size() - before, 12U);
+    r.run_for(100ms);
+    std::vector<Event> ends;
+    for (std::size_t i = before; i < r.sends.size(); ++i) {
+      const auto m = static_cast<std::uint32_t>(r.sends[i].send.id);
+      ends.push_back(Withdrawn{MessageId(m)});
+      ends.push_back(r.outcome(m, Result::delivered));
+    }
+    for (std::uint32_t m = id - 16; m < id; ++m) ends.push_back(Withdrawn{MessageId(m)});
+    r.step(ends);
+  }
+  EXPECT_GT(r.sends.size(), 400U);  // and grows over its start of a third of the slots
+}
+
+TEST(Cap, IsHalvedOnErrors) {
+  Relay r(settings(), 4);
+  std::vector<Event> events;
+  for (std::uint32_t i = 1; i <= 20; ++i) events.push_back(r.message(i));
+  r.step(events);
+  const std::size_t start = r.sends.size();
+  ASSERT_GE(start, 4U);
+  events.clear();
+  for (std::size_t i = 0; i < start; ++i) {
+    events.push_back(
+        r.outcome(static_cast<std::uint32_t>(r.sends[i].send.id), i < 2 ? Result::error : Result::delivered));
+  }
+  r.now += 500ms;
+  r.step(events);
+  EXPECT_EQ(r.sends.size() - start, start / 2);
+}
+
+TEST(Cap, OneSlowSpellCutsItOnce) {
+  Relay r;
+  std::uint32_t id = 1;
+  steady(r, id, 10s, 50ms);
+  const auto burst = [&] {
+    std::vector<Event> events;
+    for (int i = 0; i < 20; ++i) events.push_back(r.message(id++));
+    const std::size_t before = r.sends.size();
+    r.step(events);
+    return r.sends.size() - before;
+  };
+  std::vector<Event> slow;
+  const std::size_t from = r.sends.size();
+  ASSERT_GE(burst(), 5U);
+  r.now += 400ms;
+  for (std::size_t i = from; i < r.sends.size(); ++i) {
+    Outcome o = r.outcome(static_cast<std::uint32_t>(r.sends[i].send.id), Result::delivered);
+    o.elapsed = 400ms;
+    slow.push_back(o);
+  }
+  for (std::uint32_t m = id - 20; m < id; ++m) slow.push_back(Withdrawn{MessageId(m)});
+  r.step(slow);
+  for (int i = 0; i < 4; ++i) {  // ticks with a healthy call each: nothing new that is slow, no further cut
+    r.take(id);
+    r.run_for(50ms);
+    r.end(id++, Result::delivered);
+    r.run_for(450ms);
+  }
+  EXPECT_GE(burst(), 3U);
+}
+
+TEST(Hold, RefusesEarlyOpenlyAndWithASpreadHint) {
+  Relay r;
+  r.step({change(HostState::gone)});
+  for (std::uint32_t i = 1; i <= 120; ++i) r.take(i);
+  ASSERT_GE(r.refused.size(), 20U);
+  EXPECT_GT(r.refused[0].wait, 0us);
+  EXPECT_NE(r.refused[0].wait, r.refused[1].wait);
+  for (const Refuse& refusal : r.refused) EXPECT_LE(refusal.wait, 2s);
+}
+
+TEST(Hold, HigherWorthKeepsItsPlace) {
+  Relay r;
+  r.step({change(HostState::gone)});
+  r.take(1, kOnce);
+  for (std::uint32_t i = 2; i <= 120; ++i) r.take(i);
+  for (const Refuse& refusal : r.refused) EXPECT_NE(refusal.id, MessageId(1));
+}
+
+// A hung destination never answers, so its p95 says nothing.
+TEST(Stall, AnOverdueCallStopsNewOnes) {
+  Relay r;
+  std::uint32_t id = 1;
+  steady(r, id, 10s, 100ms);
+  r.take(5000);
+  r.run_for(1s);
+  const std::size_t before = r.sends.size();
+  for (std::uint32_t i = 5001; i < 5020; ++i) r.take(i);
+  r.run_for(200ms);
+  EXPECT_EQ(r.sends.size(), before);
+  r.end(5000, Result::delivered);
+  EXPECT_GT(r.sends.size(), before);
+}
+
+TEST(Stall, AHungDestinationLeavesSlotsToTheOthers) {
+  Relay r;
+  HostList list{HostList::Kind::changes, {}};
+  list.entries.push_back({HostId(9), DestinationId(2)});
+  r.step({list});
+  std::vector<Event> events;
+  for (std::uint32_t i = 1; i <= 40; ++i) events.push_back(r.message(i));
+  r.step(events);
+  r.run_for(1s);
+  r.take(100, kSafe, {}, DestinationId(2));
+  EXPECT_EQ(r.sent(100), 1);
+}
+
+// Without a pace the backlog left at the rate of the cap, call after call above the destination's limit; with
+// one that could fall under the usual rate, small destinations starved.
+TEST(Pace, RefusalsBoundTheRateButNotUnderTheUsual) {
+  Relay r;
+  std::uint32_t id = 1;
+  steady(r, id, 20s, 200ms);  // five calls a second
+  std::vector<Event> events;
+  for (std::uint32_t i = 5000; i < 5060; ++i) events.push_back(r.message(i));
+  r.step(events);
+  for (const std::uint32_t m : std::set(r.pending)) r.end(m, Result::full);
+  r.run_for(500ms);
+  const std::size_t before = r.sends.size();
+  steady(r, id, 4s, 10s);
+  EXPECT_LE(r.sends.size() - before, 50U);
+  EXPECT_GE(r.sends.size() - before, 20U);
+}
+
+// A limit that had been low for a while was high again, and what had gathered meanwhile expired at a pace
+// that still grew by a tenth in a second.
+TEST(Pace, GrowsFasterTheLongerNothingIsRefused) {
+  Settings s = settings();
+  s.max_open = 1000;
+  Relay r(s);
+  std::uint32_t id = 1;
+  steady(r, id, 20s, 200ms);  // five calls a second
+  std::vector<Event> events;
+  for (std::uint32_t i = 5000; i < 5300; ++i) events.push_back(r.message(i));
+  r.step(events);
+  for (const std::uint32_t m : std::set(r.pending)) r.end(m, Result::full);
+  const auto sent_in = [&](Duration d) {
+    const std::size_t before = r.sends.size();
+    steady(r, id, d, 100s);
+    return r.sends.size() - before;
+  };
+  EXPECT_LE(sent_in(2s), 20U);
+  sent_in(3s);
+  EXPECT_GE(sent_in(1s), 20U);
+}
+
+// A key's late head held up a long queue while lone messages went first.
+TEST(Order, TheHeadOfALongQueueGoesFirst) {
+  Settings s = settings();
+  s.slots = 2;
+  Relay r(s);
+  r.take(1);
+  r.take(2, kInTurn, 76);
+  r.run_for(500ms);
+  for (std::uint32_t i = 3; i < 8; ++i) r.take(i, kInTurn, 77);
+  r.end(1, Result::delivered);
+  EXPECT_EQ(r.sent(3), 1);
+  EXPECT_EQ(r.sent(2), 0);
+}
+
+// ---------------------------------------------------------------- many relays, each seeing a sliver
+// Idle connections of hundreds of relays filled the tables of hosts that take few: half of all connects
+// failed.
+TEST(Many, ARareCallLeavesNoIdleConnection) {
+  for (const std::uint32_t relays : {2U, 300U}) {
+    Settings s = settings();
+    s.relays = relays;
+    Relay r(s);
+    r.take(1);
+    r.run_for(100ms);
+    r.end(1, Result::delivered);
+    r.run_for(5s);
+    EXPECT_EQ(r.closed, relays == 300 ? 1 : 0);
+  }
+}
+
+TEST(Many, BusyConnectionsAreKept) {
+  Settings s = settings();
+  s.relays = 300;
+  Relay r(s);
+  std::uint32_t id = 1;
+  steady(r, id, 10s, 50ms);
+  EXPECT_LE(r.closed, 5);  // the first calls alone: afterwards the next one is always soon
+}
+
+// Something between drops idle connections unseen: calls on those that lay idle break, new ones are answered.
+TEST(Many, IdleConnectionsAreClosedBeforeTheAgeThatBroke) {
+  Relay r;
+  const auto end = [&](std::uint32_t id, Result result, Duration idle) {
+    Outcome outcome = r.outcome(id, result);
+    outcome.connection = {true, idle};
+    r.step({outcome});
+  };
+  r.take(1);
+  end(1, Result::delivered, 0s);
+  for (const std::uint32_t id : {2, 3, 4}) {
+    r.run_for(2s);
+    r.take(id);
+    r.run_for(50ms);
+    end(id, Result::reset, 2s);
+    r.run_for(1s);
+    ASSERT_EQ(r.sent(id), 2);
+    end(id, Result::delivered, 0s);
+  }
+  r.take(5);
+  EXPECT_LT(r.sends.back().send.idle_most, 2s);
+  end(5, Result::delivered, 0s);
+  const int before = r.closed;
+  r.run_for(100ms);
+  EXPECT_EQ(r.closed, before);
+  r.run_for(2s);
+  EXPECT_EQ(r.closed, before + 1);
+}
+
+// Every host of a destination that is down was tried twice by every relay, and the first seconds after its
+// return were full of their retries.
+TEST(Many, TwoFailuresInARowOpenTheWholeDestination) {
+  Settings s = settings();
+  s.relays = 300;
+  Relay r(s, 4);
+  r.run_for(20s);
+  r.take(1);
+  for (int i = 0; i < 300; ++i) {
+    r.now += 10ms;
+    std::vector<Event> events;
+    for (const std::uint32_t m : std::set(r.pending)) events.push_back(r.outcome(m, Result::connect_failed));
+    r.step(events);
+  }
+  EXPECT_LE(r.sent(1), 3);
+}
+
+// Pauses of a quarter of a second, times hundreds of relays, kept a limit exceeded.
+TEST(Many, PausesAfterRefusalsFollowTheOwnRate) {
+  const auto sends = [](Duration between) {
+    Settings s = settings();
+    s.relays = 300;
+    Relay r(s);
+    std::uint32_t id = 1000;
+    steady(r, id, 40s, between);
+    const std::size_t before = r.sends.size();
+    r.take(1);
+    for (int i = 0; i < 300; ++i) {
+      r.now += 10ms;
+      std::vector<Event> events;
+      for (const std::uint32_t m : std::set(r.pending)) events.push_back(r.outcome(m, Result::full));
+      r.step(events);
+    }
+    return r.sends.size() - before;
+  };
+  EXPECT_LE(sends(40s), 2U);
+  EXPECT_GE(sends(200ms), 4U);
+}
+
+// All relays that were told to wait came back at the same moment.
+TEST(Many, RelaysToldToWaitDoNotComeBackTogether) {
+  std::set<Time> back;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    Settings s = settings();
+    s.seed = seed;
+    s.relays = 300;
+    Relay r(s);
+    r.run_for(20s);
+    r.take(1);
+    r.end(1, Result::full, 500ms);
+    const Time told = r.now;
+    r.run_for(3s);
+    ASSERT_EQ(r.sent(1), 2);
+    EXPECT_GT(r.sends.back().at, told + 500ms);
+    back.insert(r.sends.back().at);
+  }
+  EXPECT_GE(back.size(), 6U);
+  EXPECT_GT(*back.rbegin() - *back.begin(), 200ms);
+}
+
+TEST(Many, AnIdleRelayAsksForFewTimers) {
+  Relay r;
+  r.take(1);
+  r.run_for(100ms);
+  r.end(1, Result::delivered);
+  r.run_for(15s);
+  const std::size_t before = r.timers.size();
+  r.run_for(15s);
+  EXPECT_EQ(r.timers.size(), before);
+}
+
+// ---------------------------------------------------------------- the interface
+TEST(Interface, ImpossibleSettingsNameTheField) {
+  const auto message = [](auto change) {
+    Settings s = settings();
+    change(s);
+    try {
+      Sender sender(s);
+    } catch (const std::invalid_argument& e) {
+      return std::string(e.what());
+    }
+    return std::string("accepted");
+  };
+  EXPECT_NE(message([](Settings& s) { s.slots = 0; }).find("slots"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.relays = 0; }).find("relays"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.classes.clear(); }).find("classes"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.classes[0].aim = 0us; }).find("classes.aim"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.start_capacity = 0; }).find("start_capacity"), std::string::npos);
+  EXPECT_NE(message([](Settings& s) { s.kinds[0].batch = 0; }).find("kinds.batch"), std::string::npos);
+  EXPECT_EQ(message([](Settings&) {}), "accepted");
+}
+
+// After a restart the module goes on from what a message has behind it.
+TEST(Restart, PastAttemptsBindAsIfTheyHadBeenMadeHere) {
+  Relay r;
+  r.now = Time(100s);
+  const auto again = [&](std::uint32_t id, std::uint32_t cls, std::vector<PastAttempt> past) {
+    Message m = r.message(id, cls);
+    m.past = std::move(past);
+    r.step({m});
+    return r.sent(id);
+  };
+  const auto at = [](Time t, bool may_have_run) { return PastAttempt{ZoneId(0), t, may_have_run}; };
+  EXPECT_EQ(again(1, kSafe, {at(Time(99s), true)}), 1);
+  EXPECT_EQ(again(2, kOnce, {at(Time(99s), false)}), 1) << "nothing ran";
+  EXPECT_EQ(again(3, kKeyed, {at(Time(99s), true)}), 1) << "inside the key's window";
+  EXPECT_TRUE(r.failed.empty());
+  EXPECT_EQ(again(4, kOnce, {at(Time(99s), true)}), 0);
+  EXPECT_EQ(again(5, kKeyed, {at(Time(94s), true)}), 0) << "the key is forgotten";
+  EXPECT_EQ(r.failed, (std::vector<MessageId>{MessageId(4), MessageId(5)}));
+  EXPECT_TRUE(r.refused.empty());
+  EXPECT_EQ(again(6, kSafe, std::vector<PastAttempt>(5, at(Time(99s), true))), 0) << "no attempt is left";
+  ASSERT_EQ(r.refused.size(), 1U);
+  EXPECT_EQ(r.refused[0].id, MessageId(6));
+}
+
+TEST(Restart, AttemptsAreNumberedOnFromThePast) {
+  Relay r;
+  Message m = r.message(1, kOnce);
+  m.past = {{ZoneId(0), r.now, false}, {ZoneId(0), r.now, false}};
+  r.step({m});
+  ASSERT_EQ(r.sent(1), 1);
+  r.step({Outcome{MessageId(1), 2, Result::error, false, 0us, 100ms, std::nullopt}});
+  EXPECT_EQ(r.failed, (std::vector<MessageId>{MessageId(1)}));
+}
+
+TEST(Restart, AKeyOfOneZoneGoesOnlyThere) {
+  Settings s = settings();
+  s.classes[kKeyed].scope = KeyScope::zone;
+  Relay r(s);
+  Message m = r.message(1, kKeyed);
+  m.past = {{ZoneId(3), r.now, true}};
+  r.step({m});
+  EXPECT_EQ(r.sent(1), 0) << "the one host is of another zone";
+}
+
+TEST(Interface, StrayNewsIsPassedOver) {
+  Relay r;
+  r.take(1);
+  const Outcome good = r.outcome(1, Result::delivered);
+  Outcome unknown = good;
+  unknown.id = MessageId(999);
+  Outcome never_sent = good;
+  never_sent.attempt = 7;
+  HostList unheard{HostList::Kind::changes, {}};
+  unheard.entries.push_back({HostId(77), DestinationId(1), ZoneId(0), 0, HostState::gone, std::nullopt});
+  r.step({unknown, never_sent, Timer{12345}, unheard, Withdrawn{MessageId(998)}, good, good});
+  for (std::uint32_t i = 2; i < 5; ++i) {
+    r.take(i);
+    r.end(i, Result::delivered);
+  }
+  EXPECT_EQ(r.sends.size(), 4U);
+  EXPECT_TRUE(r.failed.empty());
+}
+
+TEST(Interface, IdenticalEventsGiveIdenticalActions) {
+  const auto trace = [] {
+    Relay r(settings(), 3);
+    std::uint32_t id = 1;
+    steady(r, id, 5s, 100ms, 150ms);
+    break_host(r, 9000, Result::error);
+    r.run_for(5s);
+    std::vector<std::pair<Time, std::uint32_t>> sent;
+    for (const auto& s : r.sends) sent.emplace_back(s.at, static_cast<std::uint32_t>(s.send.id));
+    return sent;
+  };
+  EXPECT_EQ(trace(), trace());
+}
+
+TEST(Interface, TheReadmeExampleSends) {
+  const auto actions = first_step();
+  EXPECT_TRUE(std::any_of(actions.begin(), actions.end(),
+                          [](const Action& a) { return std::holds_alternative<Send>(a); }));
+}
+
+TEST(Recent, QuantilesAreOfTheNewestAndForgetTheOld) {
+  RecentSamples samples(4, 10s);
+  for (int i = 1; i <= 6; ++i) samples.add(Time(std::chrono::seconds(i)), i);
+  EXPECT_EQ(samples.size(), 4U);
+  EXPECT_DOUBLE_EQ(samples.quantile(0), 3);
+  EXPECT_DOUBLE_EQ(samples.quantile(0, 2), 5);
+  EXPECT_DOUBLE_EQ(samples.quantile(0.5), 4.5);
+  samples.trim(Time(15s));
+  EXPECT_EQ(samples.size(), 2U);
+}
+
+TEST(Recent, RatesAreUnbiasedFromTheFirstSecond) {
+  RateMeter rate(20s, Time(0s));
+  for (int i = 1; i <= 50; ++i) rate.add(Time(100ms * i), 1);
+  EXPECT_NEAR(rate.per_second(Time(5s), 1s), 10, 1);
+}
+
+}  // namespace
+}  // namespace vetchhinge
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,845 @@
+// The relay's program against peers on loopback sockets.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include "loopback.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+namespace json = boost::json;
+namespace http = boost::beast::http;
+using SteadyClock = std::chrono::steady_clock;
+
+struct Delivery {  // one call's message, as a host saw it
+  std::string host;
+  std::string id;
+  std::string key;
+  std::string body;
+  SteadyClock::time_point at;
+};
+
+// What a host does with a call: answers it and goes on, or ends the connection.
+using Behaviour = std::function<bool(tcp::socket&, Request&)>;
+
+const Behaviour kAccept = [](tcp::socket& socket, Request& request) {
+  if (request.target() == "/inbox") return answer(socket, 200);
+  json::array states;
+  const json::value parsed = json::parse(request.body());
+  for (const json::value& entry : parsed.as_array()) {
+    states.push_back(json::object{{"id", entry.at("id")}, {"state", "done"}});
+  }
+  return answer(socket, 200, json::serialize(states));
+};
+
+class RelayTest : public testing::Test {
+ protected:
+  RelayTest() {
+    std::string pattern = fs::temp_directory_path() / "relay-XXXXXX";
+    folder_ = ::mkdtemp(pattern.data());
+    fs::create_directory(folder_ / "state");
+    discovery_.emplace(
+        [this](tcp::socket& socket, Request& request) { return discover("first", socket, request); });
+    moved_.emplace(
+        [this](tcp::socket& socket, Request& request) { return discover("moved", socket, request); });
+  }
+  ~RelayTest() override {
+    process_.reset();
+    watched_.change([this] { over_ = true; });
+    hosts_.clear();
+    moved_.reset();
+    discovery_.reset();
+    fs::remove_all(folder_);
+  }
+
+  // ------------------------------------------------------------------------------- the platform
+  bool discover(const std::string& service, tcp::socket& socket, Request& request) {
+    bool silent = false;
+    watched_.change([&] {
+      asked_[service].push_back(request.target());
+      silent = service == silent_service_;
+    });
+    if (silent) {
+      watched_.wait([this] { return over_; });
+      return false;
+    }
+    if (request.target() == "/v1/outcomes") {
+      bool fail = false;
+      watched_.change([&] {
+        fail = notices_to_fail_ > 0 && notices_to_fail_--;
+        if (fail) return;
+        std::istringstream lines(request.body());
+        for (std::string line; std::getline(lines, line);) {
+          const json::value notice = json::parse(line);
+          notices_[std::string(notice.at("message").as_string())] = notice.at("outcome").as_string();
+        }
+      });
+      return answer(socket, fail ? 500 : 204);
+    }
+    // A watch: says what the test has pushed, until the test is over.
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(head), error);
+    for (std::size_t said = 0; !error;) {
+      std::string line;
+      watched_.wait([&] { return over_ || pushed_.size() > said; });
+      watched_.change([&] {
+        if (!over_) line = pushed_[said++] + "\n";
+      });
+      if (line.empty()) return false;
+      std::ostringstream chunk;
+      chunk << std::hex << line.size() << "\r\n" << line << "\r\n";
+      boost::asio::write(socket, boost::asio::buffer(chunk.str()), error);
+    }
+    return false;
+  }
+
+  void add_host(const std::string& id, int cell, const std::string& kind, Behaviour behaviour) {
+    watched_.change([&] { behaviours_[id] = std::move(behaviour); });
+    hosts_.emplace(id, std::make_unique<Peer>([this, id](tcp::socket& socket, Request& request) {
+                     Behaviour behaviour;
+                     watched_.change([&] {
+                       note(id, request);
+                       behaviour = behaviours_[id];
+                     });
+                     return behaviour(socket, request);
+                   }));
+    list_host(id, cell, kind, hosts_.at(id)->address());
+  }
+  void list_host(const std::string& id, int cell, const std::string& kind, const std::string& address) {
+    entries_[id] = {{"id", id},     {"addr", address},    {"zone", "a"},   {"kind", kind},
+                    {"cell", cell}, {"state", "SERVING"}, {"weight", 1.0}, {"started_ms", 0}};
+  }
+  void behave(const std::string& id, Behaviour behaviour) {
+    watched_.change([&] { behaviours_[id] = std::move(behaviour); });
+  }
+  json::object list(std::vector<std::string> ids = {}) const {
+    json::array servers;
+    for (const auto& [id, entry] : entries_) {
+      if (ids.empty() || std::ranges::find(ids, id) != ids.end()) servers.push_back(entry);
+    }
+    return {{"version", 5}, {"full", ids.empty()}, {"servers", servers}};
+  }
+  void push(const json::object& list) {
+    watched_.change([&] { pushed_.push_back(json::serialize(list)); });
+  }
+
+  void note(const std::string& host, const Request& request) {
+    const auto add = [&](std::string id, std::string key, std::string body) {
+      deliveries_.push_back({host, std::move(id), std::move(key), std::move(body), SteadyClock::now()});
+    };
+    if (request.target() == "/inbox") {
+      add(request["X-Request-ID"], request["Idempotency-Key"], request.body());
+      return;
+    }
+    const json::value parsed = json::parse(request.body());
+    for (const json::value& value : parsed.as_array()) {
+      const json::object& entry = value.as_object();
+      add(std::string(entry.at("id").as_string()),
+          entry.contains("key") ? std::string(entry.at("key").as_string()) : "",
+          std::string(entry.at("body").as_string()));
+    }
+  }
+
+  // ------------------------------------------------------------------------------------ the relay
+  json::object config() const {
+    const auto cls = [](const char* name, const char* effect) {
+      return json::object{{"name", name},          {"aim", 1000.0},     {"deadline", 20000.0},
+                          {"idempotency", effect}, {"keyScope", "all"}, {"lateWorth", 0.5},
+                          {"window", 6000.0},      {"worth", 1.0}};
+    };
+    return {{"name", "n0"},
+            {"listen", "127.0.0.1:0"},
+            {"discovery", discovery_->address()},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 128}, {"disk_mb", disk_mb_}}},
+            {"known", list()},
+            {"unheard_of", 1},
+            {"settings",
+             {{"allowed",
+               {{"connIdle", 9000.0},
+                {"connectTimeout", 1500.0},
+                {"maxAttempts", 4},
+                {"maxOpen", 40},
+                {"maxRetryAfter", 900.0},
+                {"retryAfter", true}}},
+              {"classes",
+               {cls("note", "idempotent"), cls("receipt", "deduplicated"), cls("refund", "at_most_once")}},
+              {"discovery", "subscribe"},
+              {"familyInfo",
+               {{"kindApart", {false, false}},
+                {"kindBatch", {10, 1}},
+                {"losesWorth", "halving"},
+                {"workers", 12}}},
+              {"hostTypes", {"bulk", "plain"}},
+              {"overShareWorth", 0.1},
+              {"rules",
+               {{"overloadFactor", 2.0},
+                {"overloadFor", 3000.0},
+                {"startCapacity", 0.2},
+                {"warmAfter", 9000.0},
+                {"askWithin", 10000.0}}},
+              {"stats", {{"fields", json::array()}}},
+              {"tick", 5.0},
+              {"weights", "off"}}}};
+  }
+
+  void start(std::optional<json::object> changed = std::nullopt) {
+    const fs::path file = folder_ / "config.json";
+    std::ofstream(file) << json::serialize(changed ? *changed : config());
+    process_.emplace(PROGRAM, std::map<std::string, std::string>{{"PROXY_CONFIG", file},
+                                                                 {"PROXY_STATE", folder_ / "state"}});
+    const std::string& line = process_->first_line();
+    address_ = line.substr(line.rfind(' ') + 1);
+  }
+  // Says SIGHUP with another text of the configuration.
+  void reload(const std::string& text) {
+    std::ofstream(folder_ / "config.json") << text;
+    process_->signal(SIGHUP);
+  }
+  json::object moved_config() const {
+    json::object changed = config();
+    changed["discovery"] = moved_->address();
+    return changed;
+  }
+  bool wait_asked(const std::string& service, const std::string& target) {
+    return watched_.wait([&] {
+      return std::ranges::any_of(asked_[service], [&](const auto& t) { return t.starts_with(target); });
+    });
+  }
+  int stop(int signal) {
+    process_->signal(signal);
+    const int status = process_->wait();
+    process_.reset();
+    return status;
+  }
+
+  Request message(const std::string& id, const std::string& cls, int dest,
+                  const std::string& body = "hello") {
+    Request request{http::verb::post, "/" + cls, 11};
+    request.set("X-Request-ID", id);
+    request.set("X-Timeout-Ms", "20000");
+    request.set("X-Addressing", "dest=" + std::to_string(dest));
+    if (cls == "receipt") request.set("Idempotency-Key", "key-of-" + id);
+    request.body() = body;
+    request.prepare_payload();
+    return request;
+  }
+  unsigned hand_in(const std::string& id, const std::string& cls, int dest,
+                   const std::string& body = "hello") {
+    return ask(address_, message(id, cls, dest, body)).result_int();
+  }
+
+  std::size_t seen(const std::string& id) const {
+    return static_cast<std::size_t>(std::ranges::count(deliveries_, id, &Delivery::id));
+  }
+  bool wait_seen(const std::string& id, std::size_t times = 1) {
+    return watched_.wait([&, times] { return seen(id) >= times; });
+  }
+  std::size_t count_seen(const std::string& id) {
+    return watched_.read([&] { return seen(id); });
+  }
+  bool wait_notice(const std::string& id, const std::string& outcome) {
+    return watched_.wait([&] { return notices_.contains(id) && notices_.at(id) == outcome; });
+  }
+  // A later message of the same path went through: what was to happen to earlier ones has happened.
+  void pass_marker(const std::string& id, int dest) {
+    ASSERT_EQ(hand_in(id, "note", dest), 202U);
+    ASSERT_TRUE(wait_seen(id));
+  }
+
+  // Leaves a call without an answer until the test is over or lets it go.
+  Behaviour silent() {
+    return [this](tcp::socket& socket, Request&) {
+      watched_.wait([this] { return over_ || released_; });
+      return answer(socket, 200);
+    };
+  }
+
+  fs::path folder_;
+  double disk_mb_ = 3;
+  Watched watched_;
+  bool over_ = false, released_ = false;
+  int notices_to_fail_ = 0;
+  std::vector<std::string> pushed_;
+  std::map<std::string, std::string> notices_;
+  std::vector<Delivery> deliveries_;
+  std::map<std::string, Behaviour> behaviours_;
+  std::map<std::string, json::object> entries_;
+  std::map<std::string, std::vector<std::string>> asked_;  // targets, by service
+  std::string silent_service_;
+  std::optional<Peer> discovery_, moved_;
+  std::map<std::string, std::unique_ptr<Peer>> hosts_;
+  std::optional<Process> process_;
+  std::string address_;
+};
+
+TEST_F(RelayTest, DeliversIdKeyAndBodyUnchanged) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  const std::string body("\0\r\n\xff any bytes", 14);
+  EXPECT_EQ(hand_in("a1", "receipt", 2, body), 202U);
+  ASSERT_TRUE(wait_seen("a1"));
+  EXPECT_EQ(deliveries_[0].key, "key-of-a1");
+  EXPECT_EQ(deliveries_[0].body, body);
+  EXPECT_EQ(hand_in("a2", "note", 2, std::string(64 << 10, 'x')), 202U);
+  ASSERT_TRUE(wait_seen("a2"));
+}
+
+TEST_F(RelayTest, MalformedInputGetsA4xxAndHarmsNothing) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  const auto without = [&](const char* field) {
+    Request request = message("b1", "receipt", 2);
+    request.erase(field);
+    return ask(address_, request).result_int();
+  };
+  for (const char* field : {"X-Request-ID", "X-Timeout-Ms", "X-Addressing", "Idempotency-Key"}) {
+    EXPECT_EQ(without(field), 400U) << field;
+  }
+  Request request = message("b2", "note", 2);
+  request.set("X-Timeout-Ms", "soon");
+  EXPECT_EQ(ask(address_, request).result_int(), 400U);
+  EXPECT_EQ(hand_in("b3", "unknown", 2), 404U);
+  EXPECT_EQ(hand_in("b4", "note", 2, std::string((64 << 10) + 1, 'x')), 413U);
+  request = message("b5", "note", 2);
+  request.set("X-Long", std::string(20 << 10, 'x'));
+  EXPECT_EQ(ask(address_, request).result_int(), 431U);
+  request = message("b6", "note", 2);
+  request.target("bad target with blanks");
+  EXPECT_EQ(ask(address_, request).result_int(), 400U);
+  EXPECT_EQ(ask(address_, Request{http::verb::get, "/_health", 11}).result_int(), 200U);
+  EXPECT_EQ(ask(address_, Request{http::verb::get, "/", 11}).result_int(), 404U);
+  pass_marker("b7", 2);
+  EXPECT_EQ(watched_.read([&] { return deliveries_.size(); }), 1U);
+}
+
+TEST_F(RelayTest, BadConfigurationNamesTheFieldInOneLine) {
+  const auto said = [&](const std::function<void(json::object&)>& spoil) {
+    json::object changed = config();
+    spoil(changed);
+    start(changed);
+    const std::string line = process_->first_line();
+    EXPECT_EQ(process_->wait(), 1);
+    return line;
+  };
+  const auto has = [](const std::string& line, const char* field) {
+    return line.find(field) != std::string::npos;
+  };
+  EXPECT_TRUE(has(said([](json::object& c) { c.erase("listen"); }), "listen"));
+  EXPECT_TRUE(has(said([](json::object& c) { c["discovery"] = "nowhere"; }), "discovery"));
+  EXPECT_TRUE(has(said([](json::object& c) { c.at("limits").as_object().erase("disk_mb"); }), "disk_mb"));
+  EXPECT_TRUE(
+      has(said([](json::object& c) { c.at("settings").at("allowed").as_object()["maxOpen"] = "many"; }),
+          "maxOpen"));
+  EXPECT_TRUE(
+      has(said([](json::object& c) { c.at("settings").as_object().erase("tick"); }), "tick: missing"));
+}
+
+// ------------------------------------------------------------------------- restarts
+
+// A call that was out at the kill may have run: an unsafe message is not sent again, and ends as given up;
+// one that may be repeated is delivered.
+TEST_F(RelayTest, AfterAKillOnlyWhatMayBeRepeatedGoesOutAgain) {
+  add_host("h", 2, "plain", silent());
+  start();
+  for (const char* cls : {"note", "receipt", "refund"}) {
+    ASSERT_EQ(hand_in(std::string("c-") + cls, cls, 2), 202U);
+    ASSERT_TRUE(wait_seen(std::string("c-") + cls));
+  }
+  EXPECT_EQ(stop(SIGKILL), 128 + SIGKILL);
+  behave("h", kAccept);
+  start();
+  EXPECT_TRUE(wait_seen("c-note", 2));
+  EXPECT_TRUE(wait_seen("c-receipt", 2)) << "its key is still remembered";
+  EXPECT_TRUE(wait_notice("c-refund", "given_up"));
+  pass_marker("c-marker", 2);
+  EXPECT_EQ(count_seen("c-refund"), 1U);
+}
+
+// Beyond the window of its key a keyed message may take effect twice.
+TEST_F(RelayTest, AKeyedMessageIsNotSentAgainAfterItsWindow) {
+  add_host("h", 2, "plain", silent());
+  json::object brief = config();
+  brief.at("settings").at("classes").at(1).as_object()["window"] = 150.0;
+  start(brief);
+  ASSERT_EQ(hand_in("d1", "receipt", 2), 202U);
+  ASSERT_TRUE(wait_seen("d1"));
+  const auto sent = SteadyClock::now();
+  stop(SIGKILL);
+  behave("h", kAccept);
+  std::this_thread::sleep_until(sent + 200ms);  // the window itself, not a guess at how long something takes
+  start(brief);
+  EXPECT_TRUE(wait_notice("d1", "given_up"));
+  pass_marker("d2", 2);
+  EXPECT_EQ(count_seen("d1"), 1U);
+}
+
+// A refusal proves that nothing ran; the journal must keep that proof.
+TEST_F(RelayTest, WhatWasTurnedAwayIsDeliveredAfterAKill) {
+  add_host("h", 2, "plain", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "60000"}});
+  });
+  start();
+  ASSERT_EQ(hand_in("e1", "refund", 2), 202U);
+  ASSERT_TRUE(wait_seen("e1"));
+  // Answered on the same connection to the relay's loop after the refusal was: it is in the journal now.
+  ASSERT_EQ(hand_in("e2", "refund", 2), 202U);
+  ASSERT_EQ(hand_in("e3", "refund", 2), 202U);
+  stop(SIGKILL);
+  behave("h", kAccept);
+  start();  // a restart ends the wait
+  EXPECT_TRUE(wait_seen("e1", 2));
+  EXPECT_TRUE(wait_seen("e2"));
+  EXPECT_TRUE(wait_seen("e3"));
+  EXPECT_TRUE(watched_.read([&] { return notices_.empty(); }));
+}
+
+TEST_F(RelayTest, AttemptsCountAcrossRestarts) {
+  add_host("h", 2, "plain", silent());
+  start();
+  ASSERT_EQ(hand_in("f1", "note", 2), 202U);
+  for (std::size_t i = 1; i <= 4; ++i) {  // maxAttempts
+    ASSERT_TRUE(wait_seen("f1", i));
+    stop(SIGKILL);
+    start();
+  }
+  EXPECT_TRUE(wait_notice("f1", "handed_back"));
+  EXPECT_EQ(count_seen("f1"), 4U);
+}
+
+TEST_F(RelayTest, ADeliveredMessageIsNotSentAgainAfterARestart) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  ASSERT_EQ(hand_in("g1", "refund", 2), 202U);
+  ASSERT_TRUE(wait_seen("g1"));
+  EXPECT_EQ(stop(SIGTERM), 0);
+  start();
+  pass_marker("g2", 2);
+  EXPECT_EQ(count_seen("g1"), 1U);
+  EXPECT_TRUE(watched_.read([&] { return notices_.empty(); })) << "nothing is owed for it";
+}
+
+// A notice is owed until the platform has taken it, also across a kill.
+TEST_F(RelayTest, NoticesAreRepeatedUntilTheyAreTaken) {
+  add_host("h", 2, "plain", [](tcp::socket&, Request&) { return false; });
+  notices_to_fail_ = 1'000'000;
+  start();
+  ASSERT_EQ(hand_in("i1", "refund", 2), 202U);
+  EXPECT_TRUE(watched_.wait([&] { return notices_to_fail_ < 1'000'000 - 2; }));
+  stop(SIGKILL);
+  watched_.change([&] { notices_to_fail_ = 2; });
+  start();
+  EXPECT_TRUE(wait_notice("i1", "given_up"));
+  EXPECT_EQ(count_seen("i1"), 1U);
+}
+
+// SIGTERM: the call that is out ends, clients are still answered, and the connection ends with the answer.
+TEST_F(RelayTest, SigtermLetsCallsOutFinish) {
+  add_host("h", 2, "plain", silent());
+  add_host("other", 3, "plain", kAccept);
+  start();
+  ASSERT_EQ(hand_in("j1", "refund", 2), 202U);
+  ASSERT_TRUE(wait_seen("j1"));
+  process_->signal(SIGTERM);
+  Response response;
+  int tries = 0;
+  do {  // until the signal has come through
+    response = ask(address_, message("j2-" + std::to_string(tries++), "note", 3));
+    EXPECT_TRUE(response.result_int() == 202 || response.result_int() == 503) << response.result_int();
+  } while (response.keep_alive());
+  watched_.change([&] { released_ = true; });
+  EXPECT_EQ(process_->wait(), 0);
+  process_.reset();
+  start();
+  pass_marker("j3", 2);
+  EXPECT_EQ(count_seen("j1"), 1U);
+  EXPECT_TRUE(watched_.read([&] { return !notices_.contains("j1"); })) << "its delivery was written down";
+}
+
+TEST_F(RelayTest, AFullDiskRefusesOpenly) {
+  disk_mb_ = 0.05;
+  add_host("h", 2, "plain", silent());
+  start();
+  EXPECT_EQ(hand_in("k1", "note", 2, std::string(30'000, 'x')), 503U);
+  int taken = 0;
+  unsigned status = 202;
+  for (int i = 0; i < 40 && status == 202; ++i, ++taken) {
+    status = hand_in("k2-" + std::to_string(i), "note", 2, std::string(3000, 'x'));
+  }
+  EXPECT_EQ(status, 503U);
+  EXPECT_GT(taken, 1);
+  std::uintmax_t bytes = 0;
+  for (const auto& entry : fs::directory_iterator(folder_ / "state")) bytes += entry.file_size();
+  EXPECT_LE(bytes, 50'000U);
+  watched_.change([&] { released_ = true; });
+  behave("h", kAccept);
+  do {  // room comes back as messages end
+    status = hand_in("k3-" + std::to_string(taken++), "note", 2, std::string(3000, 'x'));
+  } while (status == 503);
+  EXPECT_EQ(status, 202U);
+}
+
+// ------------------------------------------------------------------------- hosts
+
+// After the last byte it may have run: an unsafe message ends as given up, one that may be repeated goes
+// again.
+TEST_F(RelayTest, AResetAfterTheLastByteMayHaveRun) {
+  add_host("h", 2, "plain", [](tcp::socket&, Request&) { return false; });
+  start();
+  ASSERT_EQ(hand_in("l1", "refund", 2), 202U);
+  EXPECT_TRUE(wait_notice("l1", "given_up"));
+  EXPECT_EQ(count_seen("l1"), 1U);
+  ASSERT_EQ(hand_in("l2", "note", 2), 202U);
+  EXPECT_TRUE(wait_seen("l2", 2));
+}
+
+// Before it, it never ran: also an unsafe message goes out again, here to the host's new address.
+TEST_F(RelayTest, ARefusedConnectionNeverRan) {
+  add_host("h", 2, "plain", kAccept);
+  const std::string live = hosts_.at("h")->address();
+  {
+    Peer gone([](tcp::socket&, Request&) { return false; });
+    list_host("h", 2, "plain", gone.address());
+  }
+  start();
+  ASSERT_EQ(hand_in("m1", "refund", 2), 202U);
+  list_host("h", 2, "plain", live);
+  push(list());
+  EXPECT_TRUE(wait_seen("m1"));
+  EXPECT_TRUE(watched_.read([&] { return notices_.empty(); }));
+}
+
+TEST_F(RelayTest, ASilentHostTimesOut) {
+  add_host("h", 2, "plain", silent());
+  start();
+  ASSERT_EQ(hand_in("n1", "note", 2), 202U);
+  ASSERT_TRUE(wait_seen("n1"));
+  behave("h", kAccept);
+  EXPECT_TRUE(wait_seen("n1", 2)) << "the first call was given up";
+}
+
+// What breaks connections on the way says nothing of a destination's load: while most calls get through, as
+// many go out at once as before.
+TEST_F(RelayTest, BrokenConnectionsAmongDeliveriesHoldNothingBack) {
+  int calls = 0, answered = 0;
+  add_host("h", 2, "plain", [&](tcp::socket& socket, Request&) {
+    bool breaks = false;
+    watched_.change([&] { breaks = calls++ % 8 >= 6; });
+    if (breaks) return false;
+    answer(socket, 200);
+    watched_.change([&] { ++answered; });
+    return true;
+  });
+  start();
+  for (int i = 0; i < 60; ++i) {  // each break costs a pause: caps are judged several times meanwhile
+    ASSERT_EQ(hand_in("q-" + std::to_string(i), "note", 2), 202U);
+    ASSERT_TRUE(watched_.wait([&] { return answered > i; }));
+  }
+  behave("h", silent());
+  const std::vector<std::string> together = {"q-a", "q-b", "q-c", "q-d"};
+  for (const std::string& id : together) ASSERT_EQ(hand_in(id, "note", 2), 202U);
+  for (const std::string& id : together) ASSERT_TRUE(wait_seen(id)) << id;
+  watched_.change([&] {
+    const auto first = std::ranges::find(deliveries_, together.front(), &Delivery::id)->at;
+    for (const std::string& id : together) {
+      // Sooner than a place is given free by a time-out.
+      EXPECT_LT(std::ranges::find(deliveries_, id, &Delivery::id)->at - first, 900ms) << id;
+    }
+  });
+}
+
+TEST_F(RelayTest, AToldWaitIsHeeded) {
+  constexpr auto kWait = 700ms;
+  add_host("h", 2, "plain", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "700"}});
+  });
+  add_host("twin", 2, "plain", kAccept);
+  start();
+  SteadyClock::time_point told{};
+  for (int i = 0; told == SteadyClock::time_point{}; ++i) {
+    const std::string id = "o-" + std::to_string(i);
+    ASSERT_EQ(hand_in(id, "note", 2), 202U);
+    ASSERT_TRUE(wait_seen(id));
+    watched_.change([&] {
+      for (const Delivery& d : deliveries_) {
+        if (d.host == "h" && told == SteadyClock::time_point{}) told = d.at;
+      }
+      if (told != SteadyClock::time_point{}) behaviours_["h"] = kAccept;
+    });
+  }
+  ASSERT_EQ(hand_in("o-next", "note", 2), 202U);
+  ASSERT_TRUE(wait_seen("o-next"));
+  watched_.change([&] {
+    for (const Delivery& d : deliveries_) {
+      // What had left before the answer came is let through.
+      EXPECT_TRUE(d.at < told + 100ms || d.at >= told + kWait) << d.id;
+    }
+  });
+}
+
+TEST_F(RelayTest, ADrainingHostGetsNothingNew) {
+  add_host("h1", 2, "plain", kAccept);
+  add_host("h2", 2, "plain", kAccept);
+  json::object known = list({"h1"});
+  json::object alone = config();
+  alone["known"] = known;
+  start(alone);
+  pass_marker("p1", 2);
+  entries_["h1"]["state"] = "DRAINING";
+  push(list({"h1", "h2"}));
+  std::size_t to_h1 = 0;
+  for (int i = 0; to_h1 == 0; ++i) {  // until the change has come through
+    const std::string id = "p2-" + std::to_string(i);
+    pass_marker(id, 2);
+    watched_.change([&] {
+      if (deliveries_.back().host == "h2") to_h1 = deliveries_.size();
+    });
+  }
+  for (int i = 0; i < 5; ++i) pass_marker("p3-" + std::to_string(i), 2);
+  watched_.change([&] {
+    for (std::size_t i = to_h1; i < deliveries_.size(); ++i) EXPECT_EQ(deliveries_[i].host, "h2");
+  });
+}
+
+// ------------------------------------------------------------------------- new configurations
+
+const Behaviour kError = [](tcp::socket& socket, Request&) { return answer(socket, 500); };
+
+// SIGHUP must not end the process; watch and notices move, and what is open goes on.
+TEST_F(RelayTest, ANewConfigurationMovesWatchAndNotices) {
+  add_host("h", 2, "plain", silent());
+  start();
+  ASSERT_TRUE(wait_asked("first", "/catalog"));
+  ASSERT_EQ(hand_in("s1", "note", 2), 202U);
+  ASSERT_TRUE(wait_seen("s1"));
+  reload(json::serialize(moved_config()));
+  ASSERT_TRUE(wait_asked("moved", "/catalog"));
+  add_host("h2", 3, "plain", kError);
+  push(list());
+  unsigned status = 0;
+  for (int i = 0; status != 202; ++i) status = hand_in("s2-" + std::to_string(i), "refund", 3);
+  ASSERT_TRUE(watched_.wait([&] { return !notices_.empty(); }));
+  EXPECT_TRUE(watched_.read([&] { return std::ranges::count(asked_["first"], "/v1/outcomes") == 0; }));
+  watched_.change([&] { released_ = true; });
+  pass_marker("s3", 2);
+  EXPECT_EQ(count_seen("s1"), 1U) << "the call that was out went on";
+}
+
+// A notice that the old service never answered is said to the new one.
+TEST_F(RelayTest, ANoticeInFlightMovesWithTheConfiguration) {
+  add_host("h", 2, "plain", kError);
+  start();
+  ASSERT_TRUE(wait_asked("first", "/catalog"));
+  watched_.change([&] { silent_service_ = "first"; });
+  ASSERT_EQ(hand_in("t1", "refund", 2), 202U);
+  ASSERT_TRUE(wait_asked("first", "/v1/outcomes"));
+  reload(json::serialize(moved_config()));
+  EXPECT_TRUE(wait_notice("t1", "given_up"));
+}
+
+TEST_F(RelayTest, ABadConfigurationIsNotTaken) {
+  add_host("h", 2, "plain", kAccept);
+  add_host("bad", 3, "plain", kError);
+  start();
+  pass_marker("u1", 2);
+  for (const std::string text : {"", "{\"discovery\": 1}", "{half of i"}) {
+    reload(text);
+    pass_marker("u2" + std::to_string(text.size()), 2);
+  }
+  ASSERT_EQ(hand_in("u3", "refund", 3), 202U);
+  EXPECT_TRUE(wait_notice("u3", "given_up")) << "still at the old address";
+  EXPECT_EQ(stop(SIGTERM), 0);
+}
+
+// ------------------------------------------------------------------------- bad clients
+
+// Sends bytes and returns all that comes until the relay closes.
+std::string talk(const std::string& address, const std::string& bytes) {
+  boost::asio::io_context context;
+  tcp::socket socket = connect(context, address);
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(bytes), error);
+  std::string text;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(text), error);
+  return text;
+}
+
+// Each gets an error or a close and nothing of it reaches a host; the test's own time-out tells a hang.
+TEST_F(RelayTest, EachKindOfBadClientGetsAnErrorOrAClose) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  const std::string fields = "X-Timeout-Ms: 9000\r\nX-Addressing: dest=2\r\n";
+  const std::string head = "POST /note HTTP/1.1\r\nX-Request-ID: bad\r\n" + fields;
+  const std::string hidden =
+      "POST /note HTTP/1.1\r\nX-Request-ID: hidden\r\nContent-Length: 0\r\n" + fields + "\r\n";
+  const std::map<std::string, std::string> errors = {
+      {"noise", "\x16\x03\x01\x02 what is this\r\n\r\n"},
+      {"head without end", head + "X-Long: " + std::string(1 << 20, 'x')},
+      {"length not a number", head + "Content-Length: many\r\n\r\nhello"},
+      {"negative length", head + "Content-Length: -5\r\n\r\nhello"},
+      {"huge length", head + "Content-Length: 99999999999999999999999\r\n\r\nhello"},
+      {"two lengths",
+       head + "Content-Length: 0\r\nContent-Length: " + std::to_string(hidden.size()) + "\r\n\r\n" + hidden},
+      {"large body", head + "Content-Length: 60000000\r\n\r\n" + std::string(1 << 20, 'x')},
+      {"length and chunks",
+       head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden},
+      {"chunks and length",
+       head + "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n" + hidden},
+      {"unknown coding", head + "Transfer-Encoding: xchunked\r\n\r\n" + hidden},
+      {"coding behind chunks", head + "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n" + hidden},
+      {"obsolete coding", head + "Transfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nhello" + hidden},
+      {"folded coding", head + "Transfer-Encoding:\r\n x,chunked\r\n\r\n0\r\n\r\n" + hidden},
+      {"no id", "POST /note HTTP/1.1\r\n" + fields + "\r\n" + hidden},
+      {"unknown class", "POST /none HTTP/1.1\r\nX-Request-ID: bad\r\n" + fields + "\r\n" + hidden},
+      {"unknown destination",
+       "POST /note HTTP/1.1\r\nX-Request-ID: bad\r\nX-Timeout-Ms: 9000\r\nX-Addressing: dest=77\r\n\r\n"},
+      {"deadline not a number",
+       "POST /note HTTP/1.1\r\nX-Request-ID: bad\r\nX-Timeout-Ms: soon\r\nX-Addressing: dest=2\r\n\r\n"},
+  };
+  for (const auto& [what, bytes] : errors) {
+    const std::string said = talk(address_, bytes);
+    // A close with bytes still on their way may take the error with it.
+    if (!said.empty()) {
+      const std::string status = said.substr(0, 10);
+      EXPECT_TRUE(status == "HTTP/1.1 4" || status == "HTTP/1.1 5") << what << ": " << said;
+    }
+    EXPECT_EQ(said.find("202"), std::string::npos) << what;
+    EXPECT_EQ(said.find("HTTP/1.1", 1), std::string::npos) << what << ": a second answer";
+  }
+  EXPECT_EQ(talk(address_, ""), "") << "says nothing";
+  EXPECT_EQ(talk(address_, head.substr(0, 40)), "") << "half a head";
+  EXPECT_EQ(talk(address_, head + "Content-Length: 50\r\n\r\nhalf"), "") << "half a body";
+  pass_marker("v1", 2);
+  EXPECT_EQ(watched_.read([&] { return deliveries_.size(); }), 1U);
+}
+
+// More silent connections than the relay has descriptors: usual clients still get in.
+TEST_F(RelayTest, ACrowdOfSilentClientsKeepsNobodyOut) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  boost::asio::io_context context;
+  std::vector<tcp::socket> crowd;
+  for (int i = 0; i < 300; ++i) {
+    crowd.push_back(connect(context, address_));
+    if (i % 2 == 0) boost::asio::write(crowd.back(), boost::asio::buffer(std::string("POST /note HT")));
+  }
+  pass_marker("w1", 2);
+}
+
+// Clients that ask once and keep their connection fill all there is; one that takes its time to ask is not
+// closed for them.
+TEST_F(RelayTest, AClientAboutToAskIsKeptBeforeThoseThatHaveAsked) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  boost::asio::io_context context;
+  const auto ask_on = [](tcp::socket& socket, const Request& request) {
+    boost::system::error_code error;
+    http::write(socket, request, error);
+    boost::beast::flat_buffer buffer;
+    Response response;
+    if (!error) http::read(socket, buffer, response, error);
+    return error ? 0U : response.result_int();
+  };
+  std::vector<tcp::socket> kept;
+  for (int i = 0; i < 80; ++i) {  // more than the relay has descriptors for
+    kept.push_back(connect(context, address_));
+    ASSERT_EQ(ask_on(kept.back(), Request{http::verb::get, "/_health", 11}), 200U);
+  }
+  tcp::socket slow = connect(context, address_);
+  std::this_thread::sleep_for(300ms);  // what is tested: no longer spared for being new
+  for (int i = 0; i < 10; ++i) {
+    kept.push_back(connect(context, address_));
+    ASSERT_EQ(ask_on(kept.back(), Request{http::verb::get, "/_health", 11}), 200U);
+  }
+  EXPECT_EQ(ask_on(slow, message("s1", "note", 2)), 202U);
+}
+
+// One client must not swallow or withdraw another's message by using its id.
+TEST_F(RelayTest, AnIdInUseIsRefusedForAnotherMessage) {
+  add_host("h", 2, "plain", silent());
+  start();
+  ASSERT_EQ(hand_in("x1", "receipt", 2), 202U);
+  EXPECT_EQ(hand_in("x1", "receipt", 2, "another body"), 409U);
+  EXPECT_EQ(hand_in("x1", "note", 2), 409U);
+  Request other = message("x1", "receipt", 2);
+  other.set("Idempotency-Key", "another");
+  EXPECT_EQ(ask(address_, other).result_int(), 409U);
+  EXPECT_EQ(hand_in("x1", "receipt", 2), 202U) << "the same request once more";
+  watched_.change([&] { released_ = true; });
+  pass_marker("x2", 2);
+  EXPECT_EQ(count_seen("x1"), 1U);
+}
+
+// A host that replaces another at its address is another host: it gets a connection of its own.
+TEST_F(RelayTest, AReplacedHostSharesNoConnection) {
+  unsigned port = 0, last = 0;  // of the connection that carried the newest call
+  add_host("h-0", 2, "plain", [&](tcp::socket& socket, Request&) {
+    watched_.change([&] { port = socket.remote_endpoint().port(); });
+    return answer(socket, 200);
+  });
+  const std::string address = hosts_.at("h-0")->address();
+  start();
+  int messages = 0;
+  for (int i = 1; i <= 30; ++i) {
+    last = port;
+    entries_.clear();
+    list_host("h-" + std::to_string(i), 2, "plain", address);
+    push(list());
+    // Until the change has come through, the old host gets them on its connection.
+    const int most = messages + 200;
+    while (watched_.read([&] { return port == last; })) {
+      ASSERT_LT(messages, most) << "the connection of host " << i - 1 << " carries calls to host " << i;
+      pass_marker("y" + std::to_string(messages++), 2);
+    }
+  }
+  EXPECT_EQ(stop(SIGTERM), 0);
+}
+
+// Each message of a bulk call has its own end.
+TEST_F(RelayTest, ABulkAnswerEndsEachMessageForItself) {
+  add_host("h", 1, "bulk", [](tcp::socket& socket, Request& request) {
+    if (request.target() != "/inbox/bulk") return answer(socket, 200);
+    json::array states;
+    const json::value parsed = json::parse(request.body());
+    for (const json::value& entry : parsed.as_array()) {
+      const std::string id(entry.at("id").as_string());
+      if (id == "q-unnamed") continue;
+      states.push_back(json::object{{"id", id}, {"state", id.substr(2, id.find('-', 2) - 2)}});
+    }
+    return answer(socket, 200, json::serialize(states));
+  });
+  start();
+  std::vector<std::thread> clients;
+  const std::vector<std::string> ids = {"q-done", "q-busy", "q-failed", "q-void", "q-unnamed"};
+  for (const std::string& id : ids) {
+    clients.emplace_back([&, id] { EXPECT_EQ(hand_in(id, "refund", 1), 202U); });
+  }
+  for (std::thread& client : clients) client.join();
+  for (const std::string& id : ids) ASSERT_TRUE(wait_seen(id));
+  EXPECT_TRUE(wait_seen("q-busy", 2)) << "it never ran";
+  EXPECT_TRUE(wait_notice("q-failed", "given_up")) << "it may have run";
+  EXPECT_TRUE(wait_notice("q-unnamed", "given_up")) << "nothing proves that it did not";
+  pass_marker("r-marker", 1);
+  EXPECT_EQ(count_seen("q-done"), 1U);
+  EXPECT_EQ(count_seen("q-failed"), 1U);
+  EXPECT_EQ(count_seen("q-void"), 1U);
+  EXPECT_TRUE(watched_.read([&] { return !notices_.contains("q-done") && !notices_.contains("q-void"); }));
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
