--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -47,8 +47,8 @@
   const auto us = d.count();
   std::string text = std::to_string(us / 1000);
   if (us % 1000 != 0) {
-    std::string part = std::to_string(1000 + us % 1000);
-    text += "." + part.substr(1);
+    const std::string part = std::to_string(1000 + us % 1000);
+    text.append(".").append(part, 1);
   }
   return text;
 }
