Log counters of messages, attempts and lists every 5 s while something happens

One line every 5 s, and only if a counter moved, keeps the volume bounded. The tests' Process keeps what it reads, so that a test can look at the log.

--- /dev/null
+++ b/relay/counters.h
@@ -0,0 +1,31 @@
+// What a relay has done since its start, for its log: one line every so often, and only if something changed.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <ostream>
+
+#include "vetchhinge/policy.h"
+
+namespace myrtlegrade {
+
+struct Counters {
+  static constexpr std::size_t kResults = 8;
+
+  std::uint64_t taken = 0;        // messages
+  std::uint64_t turned_away = 0;  // by the relay itself, for want of room
+  std::uint64_t refused = 0;      // by the module
+  std::uint64_t delivered = 0;
+  std::uint64_t given_up = 0;
+  std::uint64_t repeats = 0;                       // attempts after a message's first
+  std::array<std::uint64_t, kResults> outcomes{};  // of attempts, by result
+  std::uint64_t lists = 0;                         // whole lists and changes taken
+  std::uint64_t lists_lost = 0;                    // watches that failed or broke
+
+  void outcome(vetchhinge::Result result) { ++outcomes[static_cast<std::size_t>(result)]; }
+  bool operator==(const Counters&) const = default;
+};
+
+std::ostream& operator<<(std::ostream& out, const Counters& c);
+
+}  // namespace myrtlegrade
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -33,6 +33,8 @@
 constexpr auto kLeaveAfter = 2800ms;  // whatever is out then
 constexpr auto kDrainLook = 20ms;
 
+constexpr auto kLogEvery = 5s;  // one line at most
+
 WallTime wall_now() {
   return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
 }
@@ -60,6 +62,7 @@
       discovery_(
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
           [this] {
+            ++counters_.lists_lost;
             happened(vetchhinge::HostList{vetchhinge::HostList::Kind::lost, {}});
           },
           [this](const std::string& message) { journal_.notice_settled(message); }),
@@ -70,6 +73,7 @@
           },
           [this](const std::string& id) { unheard(id); }),
       step_timer_(executor),
+      log_timer_(executor),
       drain_timer_(executor) {}
 
 void Relay::start() {
@@ -80,6 +84,7 @@
   for (const StoredMessage& stored : journal_.take_messages()) take_up(stored);
   step();
   server_.start();
+  keep_log();
 }
 
 vetchhinge::Time Relay::now() const {
@@ -121,6 +126,7 @@
   const bool full = held_ >= config_.settings.max_open ||
                     !journal_.has_room(message.body.size() + message.key.size() + message.id.size());
   if (full || closing_) {
+    ++counters_.turned_away;
     return respond(
         {Answer::Kind::refused, std::chrono::milliseconds(whole_ms(config_.settings.max_wait_hint))});
   }
@@ -184,6 +190,8 @@
 void Relay::reported(HostId host, const CallItem& item, const CallResult& result) {
   Open& open = open_.at(item.message);
   --open.out;
+  counters_.outcome(result.result);
+  if (result.result == Result::delivered && !open.over) ++counters_.delivered;
   Outcome outcome;
   outcome.id = item.message;
   outcome.attempt = item.attempt;
@@ -223,7 +231,10 @@
   }
 }
 
-void Relay::listed(const ListUpdate& update) { happened(take_list(update)); }
+void Relay::listed(const ListUpdate& update) {
+  ++counters_.lists;
+  happened(take_list(update));
+}
 
 vetchhinge::HostList Relay::take_list(const ListUpdate& update) {
   vetchhinge::HostList list;
@@ -307,11 +318,13 @@
   std::vector<std::pair<MessageId, Answer>> answers;
   for (const auto& action : actions) {
     if (const auto* refuse = std::get_if<vetchhinge::Refuse>(&action)) {
+      ++counters_.refused;
       const auto found = open_.find(refuse->id);
       if (found != open_.end() && found->second.respond) {
         answers.emplace_back(refuse->id, Answer{Answer::Kind::refused, whole_ms(refuse->wait)});
       }
     } else if (const auto* fail = std::get_if<vetchhinge::Fail>(&action)) {
+      ++counters_.given_up;
       const auto found = open_.find(fail->id);
       if (found != open_.end() && found->second.respond) {
         answers.emplace_back(fail->id, Answer{Answer::Kind::failed, {}});
@@ -346,6 +359,7 @@
   for (const MessageId id : taken) {
     Open& open = open_.at(id);
     if (kept) {
+      ++counters_.taken;
       std::exchange(open.respond, nullptr)({Answer::Kind::taken});
       continue;
     }
@@ -392,6 +406,7 @@
   } else {
     items = &calls.emplace_back(send.host, std::vector<CallItem>{}).second;
   }
+  if (open.attempts > 0) ++counters_.repeats;
   items->push_back({send.id, open.attempts++, open.payload, send.timeout, send.idle_most, send.prove});
   ++open.out;
   ++hosts_.at(send.host).out;
@@ -425,6 +440,25 @@
   open_.erase(found);
 }
 
+// -------------------------------------------------------------------------------------------- log
+
+// A quiet relay writes nothing: the volume stays bounded by the time that it works.
+void Relay::log_counters() {
+  if (counters_ == logged_) return;
+  logged_ = counters_;
+  std::cerr << "myrtlegrade: " << counters_ << " held=" << held_ << " calls_out=" << host_client_.calls_out()
+            << " clients=" << server_.connections() << std::endl;
+}
+
+void Relay::keep_log() {
+  log_timer_.expires_after(kLogEvery);
+  log_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    log_counters();
+    keep_log();
+  });
+}
+
 // ------------------------------------------------------------------------------------------ drain
 
 void Relay::drain(std::function<void()> done) {
@@ -446,6 +480,7 @@
                     host_client_.calls_out() == 0 && !discovery_.notices_pending();
   const bool quiet = closing_ && host_client_.calls_out() == 0 && server_.connections() == 0;
   if (idle || quiet || passed >= kLeaveAfter) {
+    log_counters();
     drained_();
     return;
   }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "config.h"
+#include "counters.h"
 #include "discovery.h"
 #include "host_client.h"
 #include "journal.h"
@@ -87,6 +88,8 @@
   void close_message(vetchhinge::MessageId id);
   void withhold(std::uint64_t cell);
   void drain_further();
+  void log_counters();
+  void keep_log();
 
   vetchhinge::MessageId new_id();
   vetchhinge::Time now() const;
@@ -117,6 +120,9 @@
   std::chrono::steady_clock::time_point last_step_{};
   std::chrono::steady_clock::time_point step_at_ = std::chrono::steady_clock::time_point::max();
 
+  Counters counters_, logged_;
+  boost::asio::steady_timer log_timer_;
+
   boost::asio::steady_timer drain_timer_;
   std::function<void()> drained_;
   std::chrono::steady_clock::time_point draining_since_{};
--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -107,12 +107,14 @@
   char c = 0;
   while (::read(ends[0], &c, 1) == 1 && c != '\n') first_line_ += c;
   // Further lines must not end the program for want of a reader.
-  std::thread([end = ends[0]] {
+  log_reader_ = std::thread([this, end = ends[0]] {
     char rest[512];
-    while (::read(end, rest, sizeof rest) > 0) {
+    for (ssize_t count; (count = ::read(end, rest, sizeof rest)) > 0;) {
+      const std::lock_guard lock(log_mutex_);
+      log_.append(rest, static_cast<std::size_t>(count));
     }
     ::close(end);
-  }).detach();
+  });
 }
 
 Process::~Process() {
@@ -121,12 +123,18 @@
   wait();
 }
 
+std::string Process::log() const {
+  const std::lock_guard lock(log_mutex_);
+  return log_;
+}
+
 void Process::signal(int number) { ::kill(pid_, number); }
 
 int Process::wait() {
   int status = 0;
   ::waitpid(pid_, &status, 0);
   pid_ = -1;
+  if (log_reader_.joinable()) log_reader_.join();
   return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
 }
 
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -87,9 +87,13 @@
   void signal(int number);
   int wait();  // exit status; 128 + the signal that ended it
   std::string first_line() const { return first_line_; }
+  std::string log() const;  // what came behind the first line; whole once wait() has returned
 
  private:
   pid_t pid_ = -1;
+  std::string log_;
+  mutable std::mutex log_mutex_;
+  std::thread log_reader_;
   std::string first_line_;
 };
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -350,6 +350,23 @@
       has(said([](json::object& c) { c.at("settings").as_object().erase("tick"); }), "tick: missing"));
 }
 
+// Whoever looks into a bad day finds in the log what became of messages and attempts.
+TEST_F(RelayTest, TheLogCountsWhatBecameOfMessages) {
+  add_host("h", 2, "plain", kAccept);
+  add_host("bad", 3, "plain", [](tcp::socket& socket, Request&) { return answer(socket, 500); });
+  start();
+  pass_marker("lc1", 2);
+  ASSERT_EQ(hand_in("lc2", "refund", 3), 202U);
+  ASSERT_TRUE(wait_notice("lc2", "given_up"));
+  process_->signal(SIGTERM);
+  EXPECT_EQ(process_->wait(), 0);
+  const std::string log = process_->log();
+  const std::string last = log.substr(log.rfind("taken="));
+  EXPECT_TRUE(
+      last.starts_with("taken=2 turned_away=0 refused=0 delivered=1 given_up=1 repeats=0 ok=1 error=1 "))
+      << log;
+}
+
 // ------------------------------------------------------------------------- restarts
 
 // A call that was out at the kill may have run: an unsafe message is not sent again, and ends as given up;
