--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -278,6 +278,17 @@
   EXPECT_EQ(r.sent(1), 1);
 }
 
+// A message that times out before the call that carries it is over would go out again beside itself.
+TEST(Effects, MessagesOfOneCallShareItsTimeout) {
+  Relay r(settings(), 1, 1);
+  r.step({r.message(1, kSafe), r.message(2, kOnce), r.message(3, kSafe), r.message(4, kKeyed)});
+  ASSERT_EQ(r.sends.size(), 4U) << "one call takes them all";
+  Duration longest{};
+  for (const auto& s : r.sends) longest = std::max(longest, s.send.timeout);
+  EXPECT_GT(longest, 2s) << "what may not be repeated is waited for longer than one aim";
+  for (const auto& s : r.sends) EXPECT_EQ(s.send.timeout, longest);
+}
+
 // ---------------------------------------------------------------- rule 3: drains
 TEST(Drains, NothingNewGoesToADrainingOrGoneHost) {
   for (const HostState state : {HostState::draining, HostState::gone}) {
