Open and keep the watch in the relay where the list comes unasked

Lines at fault: Discovery::watch() was called for the module's WatchList alone (Relay::carry_out) and on SIGHUP. The module asks for the list only where the settings say 'subscribe' (Impl::ask_for_list); here they say 'automatic', for which the simulator pushes changes by itself. On sockets somebody has to hold the watch, so the relay opens it at its start and again 200 ms after it broke, from the version that it has. With 'subscribe' the module decides as before.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -33,6 +33,8 @@
 constexpr auto kLeaveAfter = 2800ms;  // whatever is out then
 constexpr auto kDrainLook = 20ms;
 
+constexpr auto kWatchAgain = 200ms;  // the agent that answers is on this machine
+
 constexpr auto kLogEvery = 5s;  // one line at most
 
 WallTime wall_now() {
@@ -61,11 +63,7 @@
                    }),
       discovery_(
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
-          [this] {
-            ++counters_.lists_lost;
-            happened(vetchhinge::HostList{vetchhinge::HostList::Kind::lost, {}});
-          },
-          [this](const std::string& message) { journal_.notice_settled(message); }),
+          [this] { watch_lost(); }, [this](const std::string& message) { journal_.notice_settled(message); }),
       server_(
           executor, config_.listen, part_of(config_.sockets, kClientShare), [this] { return ready(); },
           [this](HandIn message, Server::Respond respond) {
@@ -73,6 +71,7 @@
           },
           [this](const std::string& id) { unheard(id); }),
       step_timer_(executor),
+      watch_timer_(executor),
       log_timer_(executor),
       drain_timer_(executor) {}
 
@@ -84,6 +83,7 @@
   for (const StoredMessage& stored : journal_.take_messages()) take_up(stored);
   step();
   server_.start();
+  if (!config_.settings.list_on_request) discovery_.watch(list_version_);
   keep_log();
 }
 
@@ -236,6 +236,20 @@
   happened(take_list(update));
 }
 
+// Where the list comes on request, the module asks for it. Where it comes by itself the module never does:
+// on sockets too it comes through a watch, which is the relay's to keep open.
+void Relay::watch_lost() {
+  ++counters_.lists_lost;
+  if (config_.settings.list_on_request) {
+    happened(vetchhinge::HostList{vetchhinge::HostList::Kind::lost, {}});
+    return;
+  }
+  watch_timer_.expires_after(kWatchAgain);
+  watch_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) discovery_.watch(list_version_);
+  });
+}
+
 vetchhinge::HostList Relay::take_list(const ListUpdate& update) {
   vetchhinge::HostList list;
   list.kind = update.full ? vetchhinge::HostList::Kind::whole : vetchhinge::HostList::Kind::changes;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -74,6 +74,7 @@
   void unheard(const std::string& id);
   void reported(vetchhinge::HostId host, const CallItem& item, const CallResult& result);
   void listed(const ListUpdate& update);
+  void watch_lost();
   vetchhinge::HostList take_list(const ListUpdate& update);
   void take_up(const StoredMessage& stored);
   void forget_if_gone(vetchhinge::HostId host);
@@ -120,6 +121,8 @@
   std::chrono::steady_clock::time_point last_step_{};
   std::chrono::steady_clock::time_point step_at_ = std::chrono::steady_clock::time_point::max();
 
+  boost::asio::steady_timer watch_timer_;
+
   Counters counters_, logged_;
   boost::asio::steady_timer log_timer_;
 
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -96,9 +96,13 @@
     boost::asio::write(socket, boost::asio::buffer(head), error);
     for (std::size_t said = 0; !error;) {
       std::string line;
-      watched_.wait([&] { return over_ || pushed_.size() > said; });
+      watched_.wait([&] { return over_ || watches_to_end_ > 0 || pushed_.size() > said; });
       watched_.change([&] {
-        if (!over_) line = pushed_[said++] + "\n";
+        if (watches_to_end_ > 0) {
+          --watches_to_end_;
+        } else if (!over_) {
+          line = pushed_[said++] + "\n";
+        }
       });
       if (line.empty()) return false;
       std::ostringstream chunk;
@@ -275,6 +279,7 @@
   Watched watched_;
   bool over_ = false, released_ = false;
   int notices_to_fail_ = 0;
+  int watches_to_end_ = 0;
   std::vector<std::string> pushed_;
   std::map<std::string, std::string> notices_;
   std::vector<Delivery> deliveries_;
@@ -609,6 +614,32 @@
   });
 }
 
+// Where the platform says that the list comes by itself, it still comes through a watch: nobody else asks.
+TEST_F(RelayTest, AListThatComesByItselfIsWatchedAndWatchedAgain) {
+  add_host("h", 2, "plain", kAccept);
+  json::object automatic = config();
+  automatic.at("settings").as_object()["discovery"] = "automatic";
+  start(automatic);
+  ASSERT_TRUE(wait_asked("first", "/catalog/members?watch=1"));
+  const auto known = [&](const std::string& id, int dest) {  // until the change has come through
+    unsigned status = 0;
+    for (int i = 0; status != 202 && i < 500; ++i) {
+      status = hand_in(id + std::to_string(i), "note", dest);
+      if (status != 202) std::this_thread::sleep_for(10ms);  // a pause between tries, not a guess
+    }
+    return status == 202U;
+  };
+  add_host("h3", 3, "plain", kAccept);
+  push(list());
+  EXPECT_TRUE(known("wa-", 3));
+  watched_.change([&] { watches_to_end_ = 1; });
+  ASSERT_TRUE(watched_.wait([&] { return asked_["first"].size() >= 2; })) << "a broken watch is opened anew";
+  EXPECT_EQ(watched_.read([&] { return asked_["first"].back(); }), "/catalog/members?watch=1&from=5");
+  add_host("h4", 4, "plain", kAccept);
+  push(list());
+  EXPECT_TRUE(known("wb-", 4));
+}
+
 TEST_F(RelayTest, ADrainingHostGetsNothingNew) {
   add_host("h1", 2, "plain", kAccept);
   add_host("h2", 2, "plain", kAccept);
