Prefer the host in the relay's own zone among those with equally few calls out

Evidence, from the time that attempts hold their slots: 2626 of 3900 delivered calls went on new connections and took 0.35 s each, against 0.18 s on kept ones; about 40% of all attempts cross the two rooms, 68 to 110 ms one way, and a new connection there needs two or three round trips.

Lines at fault: Impl::better() never looked at the zone, and the settings' zone was not read at all (read_settings). Equal numbers of calls out are the rule at small partners, so about half of their calls crossed for nothing. Fewer calls out still come first, so that a near host is not pushed over its own share.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -167,6 +167,8 @@
   if (line.find("rules.orderSettle")) s.order_settle = line.span("rules.orderSettle");
   if (s.list_on_request) s.list_within = line.span("rules.askWithin");
   s.tick = line.span("tick");
+  if (const auto zone = line.find("zone"); zone && !zone->empty())
+    s.zone = ZoneId(dialect.zones.number(*zone));
 
   for (std::uint64_t i = 0, n = line.integer("classes.count", most); i < n; ++i) {
     const std::string at = "classes." + std::to_string(i) + ".";
--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -69,8 +69,9 @@
   Duration max_wait_hint{};
   Duration connection_idle{};
   Duration order_settle{};
-  Duration list_within{};  // ask for the list at least this often while not subscribed
-  Duration tick{};         // least time between two calls of step()
+  Duration list_within{};        // ask for the list at least this often while not subscribed
+  Duration tick{};               // least time between two calls of step()
+  std::optional<ZoneId> zone{};  // that this relay is in, where it is told
   std::vector<ClassSettings> classes;
   std::vector<KindSettings> kinds;
   std::vector<TenantSettings> tenants;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -485,11 +485,14 @@
     return span(std::max(least, kStallP95 * p95));
   }
 
-  // Healthy first, then the host with the fewest calls out, then one with an idle connection.
+  // Healthy first, then the host with the fewest calls out, then one in the relay's own zone: a call across
+  // zones holds its slot for a round trip more, and for several where its connection is new. Then one with an
+  // idle connection.
   bool better(const Host& a, const Host& b) const {
     if (a.failures != b.failures) return a.failures < b.failures;
     if (a.cold != b.cold) return b.cold;
     if (a.in_flight != b.in_flight) return a.in_flight < b.in_flight;
+    if (s_.zone && a.zone != b.zone) return a.zone == *s_.zone;
     return idle(a) > idle(b);
   }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -67,6 +67,23 @@
   EXPECT_EQ(o.report->share_left, 0.25);
 }
 
+// Zones bear one number each, whether the settings or a list name them first.
+TEST(Codec, TheOwnZoneHasTheNumberThatListsGiveIt) {
+  const std::string line =
+      "NEW_INSTANCE entropy=7 allowed.connIdle=9000 allowed.maxAttempts=4 allowed.maxOpen=40 "
+      "allowed.maxRetryAfter=900 allowed.retryAfter=true classes.count=0 discovery=automatic "
+      "familyInfo.kindApart=false familyInfo.kindBatch=1 familyInfo.losesWorth=linear familyInfo.workers=8 "
+      "hostTypes=plain overShareWorth=0.1 rules.overloadFactor=2 rules.overloadFor=3000 "
+      "rules.startCapacity=0.2 rules.warmAfter=9000 stats.fields= tick=5 weights=off";
+  Dialect d;
+  EXPECT_FALSE(read_settings(Line(line), d).zone);
+  const Settings s = read_settings(Line(line + " zone=z"), d);
+  const HostEntry near = to_entry(read_host(Line("HOST hw=plain state=Running dc=z host=h.two cell=5")), d);
+  const HostEntry far = to_entry(read_host(Line("HOST hw=plain state=Running dc=y host=h.three cell=5")), d);
+  EXPECT_EQ(s.zone, near.zone);
+  EXPECT_NE(s.zone, far.zone);
+}
+
 TEST(Codec, ListsOfEveryKind) {
   Dialect d = dialect();
   const std::vector<WireHost> hosts = {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -289,6 +289,28 @@
   for (const auto& s : r.sends) EXPECT_EQ(s.send.timeout, longest);
 }
 
+// A call across zones holds its slot for longer: of hosts with equally few calls out the near one is taken,
+// also where the far one has a connection to spare.
+TEST(Choice, TheHostInTheOwnZoneGoesFirst) {
+  for (const std::uint32_t own : {0U, 1U}) {
+    Settings s = settings();
+    s.zone = ZoneId(own);
+    Relay r(s, 0);
+    HostList list;
+    for (const std::uint32_t h : {0U, 1U}) list.entries.push_back({HostId(h), DestinationId(1), ZoneId(h)});
+    r.step({list});
+    r.step({r.message(1), r.message(2)});  // one to each, and both leave an idle connection
+    ASSERT_EQ(r.sends.size(), 2U);
+    EXPECT_EQ(r.sends[0].send.host, HostId(own));
+    EXPECT_EQ(r.sends[1].send.host, HostId(1 - own)) << "fewer calls out come before nearness";
+    r.end(2, Result::delivered);
+    r.end(1, Result::delivered);
+    r.now += 1s;
+    r.take(3);
+    EXPECT_EQ(r.sends.at(2).send.host, HostId(own));
+  }
+}
+
 // ---------------------------------------------------------------- rule 3: drains
 TEST(Drains, NothingNewGoesToADrainingOrGoneHost) {
   for (const HostState state : {HostState::draining, HostState::gone}) {
