Weigh breaks of idle connections against the measured set-up of new ones

Symptom: all slots of the busier relay are out (34 of 34, 736 of 750 slot seconds spent), messages wait for seconds and status updates run out of time. Evidence: from 2 to 20 s connections break, 6 to 9% of young ones and 25 to 55% of those idle for over 0.2 s, mostly at once. The guard against idle drops therefore keeps connections for 0.1 s only; 57% of the calls go on new ones, which take 0.35 s against 0.18 s, while a break costs no slot time and a pause of about 0.1 s.

IdleAge now measures how much longer calls on new connections take, and asks that the breaks cost more than that. Once-only work keeps off as before: there a break may lose the message. Where the set-up is quick or not known nothing changes.

Left: caps halved by refusals and time-outs while hundreds of messages wait.

--- a/src/idle_age.cpp
+++ b/src/idle_age.cpp
@@ -15,8 +15,11 @@
 constexpr double kProof = 2.5;        // least gain of log likelihood over one rate for all ages (ours)
 constexpr double kBrokenLeast = 1.5;  // and least number of broken calls (ours)
 // Share of calls lost in excess that is worth a new connection: a repeat costs a pause and a connection
-// anyway; where none may follow, the message is lost.
+// anyway; where none may follow, the message is lost. The first is what it is at least: a new connection that
+// takes long to set up, as across zones, is worth it only where more calls are lost.
 constexpr double kExcess = 0.15;      // (ours)
+constexpr double kPause = 0.1;        // seconds that a repeat waits, at least (ours: policy.cpp)
+constexpr double kTimed = 8;          // least answered calls, new and kept, for the time that it takes (ours)
 constexpr double kExcessOnce = 0.03;  // (ours)
 
 // Log likelihood of what was counted, at the rate that fits it best.
@@ -28,22 +31,36 @@
 }  // namespace
 
 void IdleAge::broke(Time now, Duration idle) {
-  count(now, idle, 1);
+  count(now, idle, 1, {});
   judge(now);
 }
 
 void IdleAge::judge(Time now) {
   fade(now);
-  keep_ = youngest_dropped(kExcess);
+  const double cost = setup();
+  keep_ = youngest_dropped(std::max(kExcess, cost / (cost + kPause)));
   keep_once_ = youngest_dropped(kExcessOnce);
 }
 
-void IdleAge::count(Time now, Duration idle, int broken) {
+// Seconds by which calls on new connections took longer than those on kept ones; 0: not known.
+double IdleAge::setup() const {
+  Calls kept;
+  for (std::size_t age = 1; age < kAges; ++age) {
+    kept = {kept.all + ages_[age].all, kept.broken + ages_[age].broken, kept.seconds + ages_[age].seconds};
+  }
+  const Calls& fresh = ages_[0];
+  const auto mean = [](const Calls& c) { return c.seconds / (c.all - c.broken); };
+  if (std::min(fresh.all - fresh.broken, kept.all - kept.broken) < kTimed) return 0;
+  return std::max(0.0, mean(fresh) - mean(kept));
+}
+
+void IdleAge::count(Time now, Duration idle, int broken, Duration took) {
   fade(now);
   std::size_t age = idle > 0us ? 1 : 0;
   for (Duration end = kYoungest; age > 0 && idle >= end && age + 1 < kAges; end *= 2) ++age;
   ages_[age].all += 1;
   ages_[age].broken += broken;
+  ages_[age].seconds += std::chrono::duration<double>(took).count();
 }
 
 void IdleAge::fade(Time now) {
@@ -52,7 +69,7 @@
   double all = 0;
   for (const Calls& c : ages_) all += c.all;
   const double left = (memory.count() > 0 ? std::exp(-passed / memory) : 1) * kMost / std::max(kMost, all);
-  for (Calls& c : ages_) c = {c.all * left, c.broken * left};
+  for (Calls& c : ages_) c = {c.all * left, c.broken * left, c.seconds * left};
 }
 
 // The age that parts best what breaks seldom from what breaks often, where these differ by `excess` at least.
--- a/src/idle_age.h
+++ b/src/idle_age.h
@@ -19,7 +19,7 @@
   explicit IdleAge(Duration stated) : stated_(stated) {}
 
   // Of a call on a connection that had lain idle so long; 0: a new one.
-  void answered(Time now, Duration idle) { count(now, idle, 0); }
+  void answered(Time now, Duration idle, Duration took = {}) { count(now, idle, 0, took); }
   void broke(Time now, Duration idle);
 
   // To be called every now and then: what was counted fades.
@@ -33,10 +33,12 @@
   static constexpr std::size_t kAges = 12;
   struct Calls {
     double all = 0, broken = 0;
+    double seconds = 0;  // that the answered ones took
   };
 
-  void count(Time now, Duration idle, int broken);
+  void count(Time now, Duration idle, int broken, Duration took);
   void fade(Time now);
+  double setup() const;
   Duration youngest_dropped(double excess) const;
 
   Duration stated_;  // the hosts close idle connections after this
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -630,7 +630,7 @@
 
   void learn_idle(const Lane& l, const Call& call, const Outcome& o) {
     IdleAge& kind = idle_ages_[destinations_[l.destination].kind];
-    if (o.result == Result::delivered) kind.answered(now_, call.idle);
+    if (o.result == Result::delivered) kind.answered(now_, call.idle, o.elapsed);
     if (broke(o)) kind.broke(now_, call.idle);
   }
 
--- a/tests/idle_age_test.cpp
+++ b/tests/idle_age_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <utility>
+
 namespace vetchhinge {
 namespace {
 
@@ -47,6 +49,24 @@
   EXPECT_EQ(age.keep_once(), 15s);
 }
 
+// A repeat costs a short pause. Where a new connection takes longer than that, more must break before it
+// pays.
+TEST(IdleAgeTest, ConnectionsThatTakeLongToSetUpAreKeptForLonger) {
+  const auto kept_for = [](Duration setup) {
+    IdleAge age(15s);
+    for (int i = 0; i < 30; ++i) {
+      age.answered(kNow, 0us, 150ms + setup);
+      age.answered(kNow, 40ms, 150ms);
+    }
+    for (int i = 0; i < 20; ++i) age.answered(kNow, 300ms, 150ms);
+    for (int i = 0; i < 10; ++i) age.broke(kNow, 300ms);
+    return std::pair(age.keep(), age.keep_once());
+  };
+  EXPECT_LT(kept_for(10ms).first, 300ms);
+  EXPECT_EQ(kept_for(200ms).first, 15s);
+  EXPECT_LT(kept_for(200ms).second, 300ms) << "what may not be repeated keeps off all the same";
+}
+
 // A lost message costs more than a connection.
 TEST(IdleAgeTest, WorkThatMayNotBeRepeatedKeepsFurtherOff) {
   IdleAge age(15s);
