Take 503 with X-Over-Slots for a call not sent, not for a full host

PROTOCOL: with X-Over-Slots: 1 a 503 says that all slots of this relay were taken. result_of(status) in host_client.cpp made it Result::full, so the module halved the cap of, paced and backed off from a destination that had never been asked.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -111,6 +111,8 @@
   return Duration(static_cast<Duration::rep>(std::min(ms, kMost) * 1000));
 }
 
+bool own_slots(const http::fields& head) { return head["X-Over-Slots"] == "1"; }
+
 // A report that can't be read tells nothing, and spoils nothing either.
 std::optional<vetchhinge::LimitReport> told_report(const http::fields& head) {
   const auto found = head.find("X-Server-Load");
@@ -443,6 +445,8 @@
   const auto states = each ? read_states(body) : decltype(read_states(body)){};
   for (std::size_t i = 0; i < call.items.size(); ++i) {
     CallResult result = result_of(status);
+    // Turned away for want of a slot of this relay's own: that says nothing of the host.
+    if (status == 503 && own_slots(head)) result.result = Result::not_sent;
     if (each) {
       const auto found = states.find(call.items[i].payload->id);
       // One that the answer doesn't name may have run.
--- a/tests/host_client_test.cpp
+++ b/tests/host_client_test.cpp
@@ -208,6 +208,23 @@
   EXPECT_EQ(results_[0].second.result, Result::delivered);
 }
 
+// A host that is full is backed off from; one that saw too many calls of this relay has not been asked at
+// all.
+TEST_F(HostClientTest, WantOfAnOwnSlotIsNoRefusalOfTheHost) {
+  const auto result_after = [&](std::uint32_t id, const std::string& field) {
+    const std::size_t before = results_.size();
+    call({item(id)});
+    tcp::socket host = accept();
+    read_head(host);
+    say(host, "HTTP/1.1 503 Full\r\n" + field + "Connection: close\r\nContent-Length: 0\r\n\r\n");
+    EXPECT_TRUE(run_until([&] { return results_.size() > before; }));
+    return results_.back().second.result;
+  };
+  EXPECT_EQ(result_after(1, "X-Over-Slots: 1\r\n"), Result::not_sent);
+  EXPECT_EQ(result_after(2, "X-Over-Slots: 0\r\n"), Result::full);
+  EXPECT_EQ(result_after(3, ""), Result::full);
+}
+
 TEST_F(HostClientTest, EachMessageOfABulkCallHasItsOwnTimeout) {
   call({item(1, 50ms), item(2)});
   tcp::socket host = accept();
