Hold back what timed out alone until its call ends, in place of one time-out

Late news of a hang costs more than the slots.

Each message has its own time-out again. Impl::may_send() holds a message back while the call of its last attempt still has others out: that call's connection is open until the last of them has its outcome. Since HostClient closes the connection in the same turn in which it reports the last one, no second copy can meet the first.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -353,7 +353,7 @@
       for (Queue& q : queues) {
         if (!q.ready.empty() && (!best || value(q) > value(*best))) best = &q;
       }
-      if (!best) break;
+      if (!best) return;
       Entry& e = entries_.at(best->ready.back().second);
       best->ready.pop_back();
       if (const auto host = choose_host(e)) {
@@ -362,10 +362,6 @@
         best->ready.clear();  // what holds for a fresh message holds for the rest
       }
     }
-    // One call, one time-out: a message that timed out alone, and went out again, would be there twice.
-    for (const auto& [action, call] : sends_)
-      std::get<Send>(actions_[action]).timeout = calls_.at(call).timeout;
-    sends_.clear();
   }
 
   // Sendable messages of a destination, best last.
@@ -396,6 +392,8 @@
 
   bool may_send(const Entry& e) const {
     if (e.out > 0 || now_ < e.not_before) return false;
+    // What timed out alone is still there for as long as the call that carried it stays open for the others.
+    if (!e.attempts.empty() && calls_.contains(e.attempts.back().call)) return false;
     if (in_turn(e)) {
       const KeyQueue& k = keys_.at(*e.message.key);
       if (k.waiting.front() != e.message.id || k.out > 0 || now_ < k.rest_until) return false;
@@ -518,9 +516,7 @@
       l.recent_calls.add(now_, 1);
       h.budget -= h.cold ? 1 : 0;
     }
-    Call& call = calls_.at(h.step_call);
-    ++call.messages;
-    call.timeout = std::max(call.timeout, timeout(e, l));
+    ++calls_.at(h.step_call).messages;
     activate(h.lane);
     unhold(e);
     ++e.out;
@@ -528,8 +524,7 @@
     if (in_turn(e)) ++keys_.at(*e.message.key).out;
     const IdleAge& age = idle_ages_[d.kind];
     const bool once = s_.classes[e.message.cls].effect == Effect::at_most_once;
-    sends_.emplace_back(actions_.size(), h.step_call);
-    actions_.push_back(Send{e.message.id, h.id, 0us, once ? age.keep_once() : age.keep(), once});
+    actions_.push_back(Send{e.message.id, h.id, timeout(e, l), once ? age.keep_once() : age.keep(), once});
   }
 
   // Long enough for a slow destination that works, short enough that a silent one doesn't pin slots.
@@ -867,7 +862,6 @@
   std::mt19937_64 random_;
   Time now_{};
   std::vector<Action> actions_;
-  std::vector<std::pair<std::size_t, std::uint64_t>> sends_;  // of this step: action, call
   Fleet fleet_;
   std::vector<Host>& hosts_ = fleet_.hosts;
   std::vector<Lane>& lanes_ = fleet_.lanes;
--- a/src/records.h
+++ b/src/records.h
@@ -40,7 +40,6 @@
   Time sent;
   Duration idle{};  // how long its connection had lain idle, as expected until it is told; 0: a new one
   int messages = 0;
-  Duration timeout{};   // the longest of its messages
   bool judged = false;  // its first outcome has been counted
 };
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -278,15 +278,22 @@
   EXPECT_EQ(r.sent(1), 1);
 }
 
-// A message that times out before the call that carries it is over would go out again beside itself.
-TEST(Effects, MessagesOfOneCallShareItsTimeout) {
+// A message that times out before the others of its call is still there while their connection is open: it
+// would go out again beside itself.
+TEST(Effects, WhatTimedOutAloneWaitsForTheEndOfItsCall) {
   Relay r(settings(), 1, 1);
-  r.step({r.message(1, kSafe), r.message(2, kOnce), r.message(3, kSafe), r.message(4, kKeyed)});
+  r.step({r.message(1, kSafe), r.message(2, kOnce), r.message(3, kSafe), r.message(4, kOnce)});
   ASSERT_EQ(r.sends.size(), 4U) << "one call takes them all";
-  Duration longest{};
-  for (const auto& s : r.sends) longest = std::max(longest, s.send.timeout);
-  EXPECT_GT(longest, 2s) << "what may not be repeated is waited for longer than one aim";
-  for (const auto& s : r.sends) EXPECT_EQ(s.send.timeout, longest);
+  r.run_for(2s);
+  r.end(1, Result::timed_out);
+  r.end(3, Result::timed_out);
+  r.end(2, Result::timed_out);
+  r.run_for(5s);
+  EXPECT_EQ(r.sent(1), 1);
+  EXPECT_EQ(r.sent(3), 1);
+  r.end(4, Result::timed_out);
+  r.run_for(10s);
+  EXPECT_EQ(r.sent(1), 2);
 }
 
 // A call across zones holds its slot for longer: of hosts with equally few calls out the near one is taken,
