--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -143,7 +143,13 @@
   MessageId id{};
 };
 
-using Event = std::variant<HostList, Message, Timer, Outcome, Withdrawn>;
+// An operator takes a host out, whatever the list says of it, or puts it back. Its number holds meanwhile.
+struct ByHand {
+  HostId host{};
+  bool out = false;
+};
+
+using Event = std::variant<HostList, Message, Timer, Outcome, Withdrawn, ByHand>;
 
 struct Send {
   MessageId id{};
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -17,7 +17,7 @@
 namespace myrtlegrade {
 namespace {
 
-enum class Kind : std::uint8_t { accept = 1, attempt, never_ran, end, end_owing, notice_settled };
+enum class Kind : std::uint8_t { accept = 1, attempt, never_ran, end, end_owing, notice_settled, ban, lift };
 
 constexpr std::size_t kHeader = 8;                 // length and checksum, four bytes each
 constexpr std::size_t kGrowth = 1024;              // what the attempts and the end of one message may add
@@ -158,6 +158,10 @@
   } else if (kind == Kind::notice_settled) {
     notice_settled(id);
     std::erase_if(notices_, [&](const Notice& n) { return n.message == id; });
+  } else if (kind == Kind::ban) {
+    if (in.good) ban(id);
+  } else if (kind == Kind::lift) {
+    if (in.good) lift(id);
   } else {
     return false;
   }
@@ -238,6 +242,26 @@
   forget(id);
 }
 
+void Journal::ban(const std::string& host) {
+  if (!banned_.insert(host).second) return;
+  const std::string record = Writer(Kind::ban).text(host).record();
+  reserved_ += record.size();
+  append(record);
+}
+
+void Journal::lift(const std::string& host) {
+  if (banned_.erase(host) == 0) return;
+  reserved_ -= Writer(Kind::ban).text(host).record().size();
+  append(Writer(Kind::lift).text(host).record());
+}
+
+std::string Journal::live_records() const {
+  std::string text;
+  for (const std::string& host : banned_) text += Writer(Kind::ban).text(host).record();
+  for (const auto& [number, entry] : live_) text += entry.records;
+  return text;
+}
+
 bool Journal::flush() {
   if (pending_.empty()) return true;
   std::uint64_t live = 0;
@@ -261,8 +285,7 @@
 
 // What matters, pending records included, goes to a new file. If that can't be written the old one stays.
 void Journal::compact() {
-  std::string text;
-  for (const auto& [number, entry] : live_) text += entry.records;
+  const std::string text = live_records();
   if (whole_blocks(size_) + whole_blocks(text.size()) > most_) return;
   const std::string fresh = path() + ".new";
   const int file = ::open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -64,6 +65,11 @@
   void end_owing(const Notice& notice);
   void notice_settled(const std::string& id);
 
+  // Hosts that are taken out by hand, until they are put back.
+  void ban(const std::string& host);
+  void lift(const std::string& host);
+  const std::set<std::string>& banned() const { return banned_; }
+
   // False if the disk takes no more: the records are kept for the next try, and nothing that depends on
   // them may be done.
   bool flush();
@@ -77,6 +83,7 @@
   void append(std::string record);
   void read(const std::string& text);
   bool apply(std::string_view payload);
+  std::string live_records() const;
   void forget(const std::string& id);
   void compact();
   std::string path() const { return folder_ + "/journal"; }
@@ -93,6 +100,7 @@
   std::unordered_map<std::string, std::uint64_t> index_;
   std::vector<StoredMessage> messages_;
   std::vector<Notice> notices_;
+  std::set<std::string> banned_;
 };
 
 }  // namespace myrtlegrade
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -28,14 +28,15 @@
 
 // ------------------------------------------------------------------------------------------ parameters
 // Admission and hold
-constexpr double kRoom = 0.96;           // share of max_open used; beyond it the door shuts blindly (ours)
-constexpr double kHoldShare = 0.4;       // most of that room for one destination's hold (ours)
-constexpr std::size_t kHoldLeast = 4;    // a hold is never bounded under this many messages (ours)
-constexpr double kWaitShare = 0.5;       // refuse when the wait would take this share of the time left (ours)
-constexpr double kHintSpread = 0.5;      // wait hints are spread by this share, both ways (ours)
-constexpr Duration kHintLeast = 300ms;   // least wait hint (ours; the post's 15 s would outlast the work)
-constexpr Duration kUsualMemory = 20s;   // memory of the usual rate of a destination (ours)
-constexpr Duration kRateLeast = 2s;      // least time over which a rate is taken (ours)
+constexpr double kRoom = 0.96;          // share of max_open used; beyond it the door shuts blindly (ours)
+constexpr double kHoldShare = 0.4;      // most of that room for one destination's hold (ours)
+constexpr std::size_t kHoldLeast = 4;   // a hold is never bounded under this many messages (ours)
+constexpr double kWaitShare = 0.5;      // refuse when the wait would take this share of the time left (ours)
+constexpr double kHintSpread = 0.5;     // wait hints are spread by this share, both ways (ours)
+constexpr double kOutHint = 0.4;        // hint where all hosts are out by hand, share of the time left (ours)
+constexpr Duration kHintLeast = 300ms;  // least wait hint (ours; the post's 15 s would outlast the work)
+constexpr Duration kUsualMemory = 20s;  // memory of the usual rate of a destination (ours)
+constexpr Duration kRateLeast = 2s;     // least time over which a rate is taken (ours)
 constexpr Duration kTenantMemory = 10s;  // memory of the tenants' shares (ours)
 constexpr double kTenantSlack = 1.15;    // a tenant counts as over its share above this multiple (ours)
 
@@ -143,7 +144,7 @@
       asks_failed_ = 0;
     }
     if (list.kind != HostList::Kind::changes) {
-      for (Host& h : hosts_) h.usable = h.listed = false;  // what a whole list does not name is gone
+      for (Host& h : hosts_) h.running = h.listed = false;  // what a whole list does not name is gone
     }
     for (const HostEntry& e : list.entries) update(e);
   }
@@ -155,7 +156,35 @@
       known = add_host(e);
     }
     hosts_[*known].listed = e.state != HostState::gone;
-    hosts_[*known].usable = e.state == HostState::running;
+    hosts_[*known].running = e.state == HostState::running;
+    hosts_[*known].by_hand = by_hand_.contains(e.host);
+  }
+
+  // It may be restarted while it is out: it comes back cold, and gets what a host gets after an outage. What
+  // is held for it goes to other hosts of the destination, or ends now if there are none.
+  void on(const ByHand& b) {
+    if (b.out) by_hand_.insert(b.host);
+    if (!b.out) by_hand_.erase(b.host);
+    const auto known = fleet_.find(b.host);
+    if (!known) return;
+    Host& h = hosts_[*known];
+    outage_seen(h);
+    h.by_hand = b.out;
+    if (!b.out) h.failures = 0;
+    const std::size_t d = lanes_[h.lane].destination;
+    if (!shut_by_hand(d)) return;
+    for (const MessageId id : std::vector(destinations_[d].hold)) give_up(entries_.at(id));
+  }
+
+  bool shut_by_hand(std::size_t d) const {
+    bool out = false;
+    for (const std::size_t l : destinations_[d].lanes) {
+      for (const std::size_t h : lanes_[l].hosts) {
+        if (hosts_[h].usable()) return false;
+        out = out || hosts_[h].by_hand;
+      }
+    }
+    return out;
   }
 
   std::size_t add_host(const HostEntry& e) {
@@ -255,7 +284,8 @@
   // In an outage nothing tells when it ends: work waits, and the hold's bound alone refuses.
   bool recovering(std::size_t d) const {
     return std::ranges::any_of(destinations_[d].lanes, [this](std::size_t l) {
-      return std::ranges::any_of(lanes_[l].hosts, [this](std::size_t h) { return hosts_[h].cold; });
+      return std::ranges::any_of(lanes_[l].hosts,
+                                 [this](std::size_t h) { return hosts_[h].cold && hosts_[h].usable(); });
     });
   }
 
@@ -296,6 +326,8 @@
   void refuse(Entry& e) {
     const double backlog = std::min(backlog_time(e.destination), seconds(s_.max_wait_hint));
     Duration wait(std::llround(backlog * 1e6));
+    // Nothing tells when a host comes back by hand: early enough to be tried again before the time is up.
+    if (shut_by_hand(e.destination)) wait = scaled(e.message.valid_until - now_, kOutHint);
     wait = scaled(std::max(wait, kHintLeast), jitter(kHintSpread));
     actions_.push_back(Refuse{e.message.id, s_.wait_hints ? std::min(wait, s_.max_wait_hint) : 0us});
     close(e);
@@ -424,7 +456,7 @@
       if (!lane_ready(lanes_[l])) continue;
       refill_pace(lanes_[l]);
       for (const std::size_t h : lanes_[l].hosts) {
-        if (!hosts_[h].usable || !in_scope(e, hosts_[h])) continue;
+        if (!hosts_[h].usable() || !in_scope(e, hosts_[h])) continue;
         if (joinable(hosts_[h], d)) return h;  // joining a call of this step costs neither slot nor limit
         if (!lane_has_room(lanes_[l]) || !host_has_room(hosts_[h])) continue;
         if (!best || better(hosts_[h], hosts_[*best])) best = h;
@@ -774,13 +806,15 @@
 
   // Into the hold where an attempt may follow, else the final answer.
   void hold_or_end(Entry& e) {
-    if (!may_try(e)) return may_refuse(e) ? refuse(e) : fail(e);
+    if (!may_try(e) || shut_by_hand(e.destination)) return give_up(e);
     const std::optional<Time> risky = first_risky_send(e);
     const ClassSettings& c = s_.classes[e.message.cls];
     if (risky && c.effect == Effect::deduplicated) expiries_.emplace(*risky + c.window, e.message.id);
     hold(e);
   }
 
+  void give_up(Entry& e) { may_refuse(e) ? refuse(e) : fail(e); }
+
   bool may_try(const Entry& e) const { return repeatable(e) && e.attempts.size() < s_.max_attempts; }
 
   bool repeatable(const Entry& e) const {
@@ -882,6 +916,7 @@
   Time control_at_{};
   Time timer_at_ = Time::min();
   std::uint64_t step_ = 0;
+  std::set<HostId> by_hand_;                     // out, listed or not
   std::set<std::size_t> waiting_;                // destinations with held work
   std::vector<IdleAge> idle_ages_;               // for each kind
   std::set<std::pair<Time, std::size_t>> idle_;  // when a host's last call ended
--- a/src/records.h
+++ b/src/records.h
@@ -48,7 +48,9 @@
   ZoneId zone{};
   std::size_t lane = 0;
   bool listed = false;
-  bool usable = false;  // it is listed, and may get something new
+  bool running = false;  // as the list says: it may get something new
+  bool by_hand = false;  // out by hand, whatever the list says
+  bool usable() const { return running && !by_hand; }
   int in_flight = 0;
   int failures = 0;  // weight of those in a row
   Time retry_at{};   // open circuit: next single call
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -144,5 +144,23 @@
   EXPECT_TRUE(journal.has_room(4000));
 }
 
+TEST_F(JournalTest, BansOutliveTheProcessAndCompaction) {
+  const std::set<std::string> left = {"s-2"};
+  {
+    Journal journal(folder_, 3'000'000);
+    journal.ban("s-1");
+    journal.ban("s-2");
+    journal.lift("s-1");
+    ASSERT_TRUE(journal.flush());
+    for (int i = 0; i < 2000; ++i) {
+      journal.accept(message(std::to_string(i), 200));
+      journal.end(std::to_string(i));
+      ASSERT_TRUE(journal.flush());
+    }
+    ASSERT_LT(on_disk(), 200'000U) << "it was compacted";
+  }
+  EXPECT_EQ(Journal(folder_, 3'000'000).banned(), left);
+}
+
 }  // namespace
 }  // namespace myrtlegrade
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -890,5 +890,60 @@
   EXPECT_NEAR(rate.per_second(Time(5s), 1s), 10, 1);
 }
 
+TEST(Sender, GivesNothingToAHostThatIsOutByHandThoughTheListNamesIt) {
+  Relay relay(settings(), 2);
+  relay.step({ByHand{HostId(0), true}});
+  HostList again{HostList::Kind::whole,
+                 {{HostId(0), DestinationId(1), ZoneId(0), 0}, {HostId(1), DestinationId(1), ZoneId(0), 0}}};
+  relay.step({again});
+  for (std::uint32_t id = 0; id < 6; ++id) {
+    relay.take(id);
+    relay.end(id, Result::delivered);
+    relay.run_for(100ms);
+  }
+  ASSERT_EQ(relay.sends.size(), 6U);
+  for (const auto& sent : relay.sends) EXPECT_EQ(sent.send.host, HostId(1));
+}
+
+TEST(Sender, AHostThatIsBackByHandGetsWhatAColdOneGets) {
+  Relay relay;
+  std::uint32_t id = 0;
+  for (; id < 100; ++id) {  // ten a second
+    relay.take(id);
+    relay.end(id, Result::delivered);
+    relay.run_for(100ms);
+  }
+  relay.step({ByHand{HostId(0), true}});
+  relay.run_for(3s);
+  relay.step({ByHand{HostId(0), false}, ByHand{HostId(0), false}});
+  const std::size_t before = relay.sends.size();
+  std::vector<Event> flood;
+  for (; id < 140; ++id) flood.push_back(relay.message(id));
+  relay.step(flood);
+  EXPECT_LE(relay.sends.size(), before + 1);
+  for (int beats = 0; beats < 100; ++beats) {
+    for (const std::uint32_t out : std::set(relay.pending)) relay.end(out, Result::delivered);
+    relay.run_for(10ms);
+  }
+  // A fifth of its capacity at first, twice which pushes it over: some five calls in the first second.
+  EXPECT_GT(relay.sends.size(), before);
+  EXPECT_LE(relay.sends.size(), before + 10);
+}
+
+TEST(Sender, HandsBackWhatIsHeldOnceTheLastHostIsOutByHand) {
+  Relay relay;
+  for (std::uint32_t id = 0; id < 20; ++id) relay.take(id);
+  const std::size_t held = 20 - relay.sends.size();
+  ASSERT_GT(held, 0U);
+  relay.step({ByHand{HostId(0), true}});
+  EXPECT_EQ(relay.refused.size(), held);
+  relay.take(20);
+  EXPECT_EQ(relay.refused.size(), held + 1);
+  for (const Refuse& refuse : relay.refused) EXPECT_GT(refuse.wait, 0us);
+  relay.step({ByHand{HostId(0), false}});
+  relay.take(21);
+  EXPECT_EQ(relay.refused.size(), held + 1);
+}
+
 }  // namespace
 }  // namespace vetchhinge
