--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -100,6 +100,8 @@
   config.name = text(root, "name");
   config.listen = parse_endpoint(text(root, "listen"), "config: listen");
   config.discovery = parse_endpoint(text(root, "discovery"), "config: discovery");
+  if (root.contains("admin_addr"))
+    config.admin = parse_endpoint(text(root, "admin_addr"), "config: admin_addr");
   config.state_folder = state_folder;
   const json::object& limits = object_at(root, "limits");
   config.sockets = static_cast<std::size_t>(limit(limits, "sockets"));
@@ -126,7 +128,10 @@
   std::ifstream file(path, std::ios::binary);
   const std::string source{std::istreambuf_iterator<char>(file), {}};
   if (!file) throw std::invalid_argument("PROXY_CONFIG: cannot read " + path);
-  return parse_config(source, state_folder);
+  Config config = parse_config(source, state_folder);
+  const char* admin = std::getenv("PROXY_ADMIN_ADDR");
+  if (!config.admin && admin && *admin) config.admin = parse_endpoint(admin, "PROXY_ADMIN_ADDR");
+  return config;
 }
 
 }  // namespace myrtlegrade
--- a/relay/config.h
+++ b/relay/config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "codec.h"
@@ -14,6 +15,7 @@
   std::string name;
   Endpoint listen;
   Endpoint discovery;
+  std::optional<Endpoint> admin;  // the second address, where there is one
   std::string state_folder;
   std::size_t sockets = 0;
   std::uint64_t disk_bytes = 0;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -43,6 +43,9 @@
     };
     await_reload();
     relay.start();
+    if (const auto admin = relay.second_address()) {
+      std::cerr << "myrtlegrade: second address on " << *admin << std::endl;
+    }
     std::cerr << "myrtlegrade: listening on " << relay.address() << std::endl;
     context.run();
   } catch (const std::exception& e) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -21,10 +21,11 @@
 namespace {
 
 // Descriptors: most go to clients, who open a connection for every request that finds none free; of the rest,
-// hosts get what discovery, files and connections that are just being closed leave.
-constexpr double kClientShare = 0.5;
-constexpr double kHostShare = 0.4;
-constexpr double kIdleHostShare = 0.25;
+// hosts get what discovery, files, the second address and connections that are just being closed leave.
+constexpr double kClientShare = 0.54;
+constexpr double kHostShare = 0.43;
+constexpr double kIdleHostShare = 0.27;
+constexpr std::size_t kSetAside = 14 + AdminServer::kMostCallers;
 constexpr std::uint32_t kMostListeners = 4;  // to one message
 
 // A planned restart kills the process some 3.7 s after SIGTERM.
@@ -42,7 +43,8 @@
 }
 
 std::size_t part_of(std::size_t descriptors, double share) {
-  return static_cast<std::size_t>(static_cast<double>(descriptors) * share);
+  const std::size_t shared = std::max(descriptors, 2 * kSetAside) - kSetAside;
+  return static_cast<std::size_t>(static_cast<double>(shared) * share);
 }
 
 std::chrono::milliseconds whole_ms(Duration d) { return std::chrono::ceil<std::chrono::milliseconds>(d); }
@@ -73,16 +75,22 @@
       step_timer_(executor),
       watch_timer_(executor),
       log_timer_(executor),
-      drain_timer_(executor) {}
+      drain_timer_(executor) {
+  if (!config_.admin) return;
+  admin_.emplace(executor, *config_.admin,
+                 [this](const std::string& line, const AdminServer::Reply& reply) { reply(called(line)); });
+}
 
 void Relay::start() {
   vetchhinge::HostList cached = take_list(config_.known);
   cached.kind = vetchhinge::HostList::Kind::cached;
   events_.emplace_back(std::move(cached));
+  for (const std::string& host : journal_.banned()) tell_by_hand(host, true);
   for (const Notice& notice : journal_.take_notices()) discovery_.send(notice);
   for (const StoredMessage& stored : journal_.take_messages()) take_up(stored);
   step();
   server_.start();
+  if (admin_) admin_->start();
   if (!config_.settings.list_on_request) discovery_.watch(list_version_);
   keep_log();
 }
@@ -290,8 +298,66 @@
   if (found == hosts_.end() || found->second.listed) return;
   host_client_.close_idle(id);
   if (found->second.out > 0) return;
-  config_.dialect.hosts.forget(static_cast<std::uint32_t>(id));
   hosts_.erase(found);
+  // What is taken out by hand comes back under its number: the module knows the ban by it.
+  const std::string& name = config_.dialect.hosts.name(static_cast<std::uint32_t>(id));
+  if (!journal_.banned().contains(name)) config_.dialect.hosts.forget(static_cast<std::uint32_t>(id));
+}
+
+// -------------------------------------------------------------------------- the operators' calls
+
+std::string Relay::called(const std::string& line) {
+  const auto blank = line.find(' ');
+  const std::string call = line.substr(0, blank);
+  const std::string host = blank == std::string::npos ? "" : line.substr(blank + 1);
+  if (!host.empty() && call == "OFFLINE") return take_out(host);
+  if (!host.empty() && call == "ONLINE") return put_back(host);
+  if (line == "HEALTH") return !ready() ? "NAK no host is known yet" : draining_ ? "NAK ending" : "ACK";
+  if (line == "LEAVE") {
+    server_.leave();
+    return "ACK";
+  }
+  if (line == "JOIN") {
+    server_.join();
+    return "ACK";
+  }
+  return "NAK unknown call";
+}
+
+std::string Relay::take_out(const std::string& host) {
+  if (journal_.banned().contains(host)) return "ACK";
+  const auto number = config_.dialect.hosts.find(host);
+  if (!number || !hosts_.contains(HostId(*number))) return "NAK no such endpoint";
+  journal_.ban(host);
+  if (!journal_.flush()) {  // what a restart would forget must not be promised
+    journal_.lift(host);
+    return "NAK the disk is full";
+  }
+  host_client_.withhold(HostId(*number));
+  tell_by_hand(host, true);
+  return "ACK";
+}
+
+std::string Relay::put_back(const std::string& host) {
+  const auto number = config_.dialect.hosts.find(host);
+  if (!journal_.banned().contains(host)) {
+    return number && hosts_.contains(HostId(*number)) ? "ACK" : "NAK no such endpoint";
+  }
+  journal_.lift(host);
+  if (!journal_.flush()) {
+    journal_.ban(host);
+    return "NAK the disk is full";
+  }
+  tell_by_hand(host, false);
+  if (number && !hosts_.contains(HostId(*number))) config_.dialect.hosts.forget(*number);
+  return "ACK";
+}
+
+void Relay::tell_by_hand(const std::string& host, bool out) {
+  std::cerr << "myrtlegrade: " << host << (out ? " is out by hand" : " is back by hand") << std::endl;
+  const HostId id{config_.dialect.hosts.number(host)};
+  if (out) host_client_.close_idle(id);
+  happened(vetchhinge::ByHand{id, out});
 }
 
 // ----------------------------------------------------------------------------------------- steps
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -9,11 +9,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
+#include "admin_server.h"
 #include "config.h"
 #include "counters.h"
 #include "discovery.h"
@@ -32,6 +34,9 @@
   void start();
 
   Endpoint address() const { return server_.address(); }
+  std::optional<Endpoint> second_address() const {
+    return admin_ ? std::optional(admin_->address()) : std::nullopt;
+  }
 
   // The journal is read back and hosts are known.
   bool ready() const { return list_known_; }
@@ -79,6 +84,11 @@
   void take_up(const StoredMessage& stored);
   void forget_if_gone(vetchhinge::HostId host);
 
+  std::string called(const std::string& line);
+  std::string take_out(const std::string& host);
+  std::string put_back(const std::string& host);
+  void tell_by_hand(const std::string& host, bool out);
+
   void happened(vetchhinge::Event event);
   void schedule();
   void step();
@@ -102,6 +112,7 @@
   HostClient host_client_;
   Discovery discovery_;
   Server server_;
+  std::optional<AdminServer> admin_;
 
   std::unordered_map<vetchhinge::MessageId, Open> open_;
   std::unordered_map<std::string, vetchhinge::MessageId> ids_;
--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -32,6 +32,8 @@
 constexpr std::size_t kFirstRead = 1 << 10;
 constexpr auto kIdleFor = 10s;       // between requests
 constexpr auto kRequestWithin = 2s;  // for a request to come whole; the first one from the connection's start
+constexpr auto kLeaveIdle = 2s;      // the least time that a client may count on between two requests
+constexpr auto kLeaveLook = 50ms;    // between looks at what has become idle
 constexpr auto kSpared = 250ms;      // a connection that is new, or whose request is on its way, is not shed
 constexpr auto kWriteWithin = 2s;
 constexpr auto kLinger = 500ms;                  // for the client to take its last answer
@@ -196,7 +198,8 @@
       most_(most_connections),
       ready_(std::move(ready)),
       on_hand_in_(std::move(on_hand_in)),
-      on_unheard_(std::move(on_unheard)) {}
+      on_unheard_(std::move(on_unheard)),
+      leave_timer_(executor_) {}
 
 Server::~Server() = default;
 
@@ -228,6 +231,24 @@
   }
 }
 
+void Server::leave() {
+  if (!std::exchange(leaving_, true)) close_idle();
+}
+
+void Server::close_idle() {
+  if (!leaving_) return;
+  const auto now = Session::Clock::now();
+  for (const auto& session : sessions_) {
+    if (session->state != Session::State::idle || now - session->since < kLeaveIdle) continue;
+    boost::system::error_code ignored;
+    if (session->stream.socket().available(ignored) == 0) session->stream.cancel();
+  }
+  leave_timer_.expires_after(kLeaveLook);
+  leave_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) close_idle();
+  });
+}
+
 asio::awaitable<void> Server::accept() {
   while (true) {
     auto [error, socket] = co_await acceptor_.async_accept(kAwait);
@@ -256,6 +277,7 @@
 std::optional<Response> Server::at_once(Request& request, HandIn& message) const {
   const std::string_view target = view(request.target());
   if (request.method() == http::verb::get && target == "/_health") {
+    if (leaving_) return plain(http::status::service_unavailable, "leaving");
     return ready_() ? plain(http::status::ok, "ready")
                     : plain(http::status::service_unavailable, "no host is known yet");
   }
@@ -341,7 +363,7 @@
         response = response_to(answer);
       }
     }
-    open = open && !draining_ && goes_on(http::to_status_class(response->result()));
+    open = open && !draining_ && !leaving_ && goes_on(http::to_status_class(response->result()));
     response->keep_alive(open);
     session.stream.expires_after(kWriteWithin);
     const auto [write_error, written] = co_await http::async_write(session.stream, *response, kAwait);
--- a/relay/server.h
+++ b/relay/server.h
@@ -51,6 +51,11 @@
 
   void start();
   void drain() { draining_ = true; }  // answers say that the connection ends
+
+  // Empties itself of connections: each ends with its next answer, or once it has been idle for a while.
+  // /_health says no, so that no more come; those that do are served. `join` takes that back.
+  void leave();
+  void join() { leaving_ = false; }
   std::size_t connections() const { return open_; }
   Endpoint address() const { return acceptor_.local_endpoint(); }
 
@@ -64,6 +69,7 @@
   boost::asio::awaitable<Answer> ask(HandIn message);
   std::optional<Response> at_once(Request& request, HandIn& message) const;
   bool shed();
+  void close_idle();
 
   boost::asio::any_io_executor executor_;
   boost::asio::ip::tcp::acceptor acceptor_;
@@ -73,6 +79,8 @@
   OnHandIn on_hand_in_;
   OnUnheard on_unheard_;
   bool draining_ = false;
+  bool leaving_ = false;
+  boost::asio::steady_timer leave_timer_;
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   std::size_t open_ = 0;  // sessions that still hold a descriptor
 };
--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -8,6 +8,8 @@
 #include <unistd.h>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <stdexcept>
 #include <string_view>
 
@@ -83,6 +85,16 @@
   return response;
 }
 
+std::string call(const std::string& address, const std::string& line) {
+  boost::asio::io_context context;
+  tcp::socket socket = connect(context, address);
+  boost::system::error_code ended;
+  boost::asio::write(socket, boost::asio::buffer(line + "\n"), ended);
+  std::string reply;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(reply), ended);
+  return reply.substr(0, reply.find('\n'));
+}
+
 Process::Process(const std::string& program, const std::map<std::string, std::string>& environment) {
   int ends[2];
   if (::pipe2(ends, O_CLOEXEC) != 0) throw std::runtime_error("pipe2");
@@ -104,8 +116,17 @@
   ::posix_spawn_file_actions_destroy(&actions);
   if (failed != 0) throw std::runtime_error("posix_spawn");
   ::close(ends[1]);
-  char c = 0;
-  while (::read(ends[0], &c, 1) == 1 && c != '\n') first_line_ += c;
+  head_.emplace_back();
+  for (char c = 0; ::read(ends[0], &c, 1) == 1;) {
+    if (c != '\n') {
+      head_.back() += c;
+    } else if (head_.back().find("listening on") != std::string::npos) {
+      break;
+    } else {
+      head_.emplace_back();
+    }
+  }
+  while (head_.size() > 1 && head_.back().empty()) head_.pop_back();
   // Further lines must not end the program for want of a reader.
   log_reader_ = std::thread([this, end = ends[0]] {
     char rest[512];
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -79,14 +79,20 @@
 // One request on a connection of its own.
 Response ask(const std::string& address, const Request& request);
 
-// The relay's program. Its address is read from its log.
+// One line to a relay's second address, and the line that it replies; empty: none.
+std::string call(const std::string& address, const std::string& line);
+
+// The relay's program. Its addresses are read from its log.
 class Process {
  public:
   Process(const std::string& program, const std::map<std::string, std::string>& environment);
   ~Process();
   void signal(int number);
   int wait();  // exit status; 128 + the signal that ended it
-  std::string first_line() const { return first_line_; }
+  // The last line of its start; of a program that ended at once, the last one that it wrote.
+  std::string first_line() const { return head_.back(); }
+  std::string address() const { return last_word(first_line()); }
+  std::string second_address() const { return head_.size() > 1 ? last_word(head_[head_.size() - 2]) : ""; }
   std::string log() const;  // what came behind the first line; whole once wait() has returned
 
  private:
@@ -94,7 +100,9 @@
   std::string log_;
   mutable std::mutex log_mutex_;
   std::thread log_reader_;
-  std::string first_line_;
+  static std::string last_word(const std::string& line) { return line.substr(line.rfind(' ') + 1); }
+
+  std::vector<std::string> head_;  // the lines up to the one that tells where clients connect
 };
 
 }  // namespace myrtlegrade::test
--- /dev/null
+++ b/tests/relay_fixture.h
@@ -0,0 +1,301 @@
+// A relay's world for its tests: hosts, discovery, and the real program with a folder that lasts.
+#pragma once
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <algorithm>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <memory>
+#include <optional>
+
+#include "loopback.h"
+
+namespace myrtlegrade::test {
+
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+namespace json = boost::json;
+namespace http = boost::beast::http;
+using SteadyClock = std::chrono::steady_clock;
+
+struct Delivery {  // one call's message, as a host saw it
+  std::string host;
+  std::string id;
+  std::string key;
+  std::string body;
+  SteadyClock::time_point at;
+};
+
+// What a host does with a call: answers it and goes on, or ends the connection.
+using Behaviour = std::function<bool(tcp::socket&, Request&)>;
+
+inline const Behaviour kAccept = [](tcp::socket& socket, Request& request) {
+  if (request.target() == "/inbox") return answer(socket, 200);
+  json::array states;
+  const json::value parsed = json::parse(request.body());
+  for (const json::value& entry : parsed.as_array()) {
+    states.push_back(json::object{{"id", entry.at("id")}, {"state", "done"}});
+  }
+  return answer(socket, 200, json::serialize(states));
+};
+
+class RelayTest : public testing::Test {
+ protected:
+  RelayTest() {
+    std::string pattern = fs::temp_directory_path() / "relay-XXXXXX";
+    folder_ = ::mkdtemp(pattern.data());
+    fs::create_directory(folder_ / "state");
+    discovery_.emplace(
+        [this](tcp::socket& socket, Request& request) { return discover("first", socket, request); });
+    moved_.emplace(
+        [this](tcp::socket& socket, Request& request) { return discover("moved", socket, request); });
+  }
+  ~RelayTest() override {
+    process_.reset();
+    watched_.change([this] { over_ = true; });
+    hosts_.clear();
+    moved_.reset();
+    discovery_.reset();
+    fs::remove_all(folder_);
+  }
+
+  // ------------------------------------------------------------------------------- the platform
+  bool discover(const std::string& service, tcp::socket& socket, Request& request) {
+    bool silent = false;
+    watched_.change([&] {
+      asked_[service].push_back(request.target());
+      silent = service == silent_service_;
+    });
+    if (silent) {
+      watched_.wait([this] { return over_; });
+      return false;
+    }
+    if (request.target() == "/v1/outcomes") {
+      bool fail = false;
+      watched_.change([&] {
+        fail = notices_to_fail_ > 0 && notices_to_fail_--;
+        if (fail) return;
+        std::istringstream lines(request.body());
+        for (std::string line; std::getline(lines, line);) {
+          const json::value notice = json::parse(line);
+          notices_[std::string(notice.at("message").as_string())] = notice.at("outcome").as_string();
+        }
+      });
+      return answer(socket, fail ? 500 : 204);
+    }
+    // A watch: says what the test has pushed, until the test is over.
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(head), error);
+    for (std::size_t said = 0; !error;) {
+      std::string line;
+      watched_.wait([&] { return over_ || watches_to_end_ > 0 || pushed_.size() > said; });
+      watched_.change([&] {
+        if (watches_to_end_ > 0) {
+          --watches_to_end_;
+        } else if (!over_) {
+          line = pushed_[said++] + "\n";
+        }
+      });
+      if (line.empty()) return false;
+      std::ostringstream chunk;
+      chunk << std::hex << line.size() << "\r\n" << line << "\r\n";
+      boost::asio::write(socket, boost::asio::buffer(chunk.str()), error);
+    }
+    return false;
+  }
+
+  void add_host(const std::string& id, int cell, const std::string& kind, Behaviour behaviour) {
+    watched_.change([&] { behaviours_[id] = std::move(behaviour); });
+    hosts_.emplace(id, std::make_unique<Peer>([this, id](tcp::socket& socket, Request& request) {
+                     Behaviour behaviour;
+                     watched_.change([&] {
+                       note(id, request);
+                       behaviour = behaviours_[id];
+                     });
+                     return behaviour(socket, request);
+                   }));
+    list_host(id, cell, kind, hosts_.at(id)->address());
+  }
+  void list_host(const std::string& id, int cell, const std::string& kind, const std::string& address) {
+    entries_[id] = {{"id", id},     {"addr", address},    {"zone", "a"},   {"kind", kind},
+                    {"cell", cell}, {"state", "SERVING"}, {"weight", 1.0}, {"started_ms", 0}};
+  }
+  void behave(const std::string& id, Behaviour behaviour) {
+    watched_.change([&] { behaviours_[id] = std::move(behaviour); });
+  }
+  json::object list(std::vector<std::string> ids = {}) const {
+    json::array servers;
+    for (const auto& [id, entry] : entries_) {
+      if (ids.empty() || std::ranges::find(ids, id) != ids.end()) servers.push_back(entry);
+    }
+    return {{"version", 5}, {"full", ids.empty()}, {"servers", servers}};
+  }
+  void push(const json::object& list) {
+    watched_.change([&] { pushed_.push_back(json::serialize(list)); });
+  }
+
+  void note(const std::string& host, const Request& request) {
+    const auto add = [&](std::string id, std::string key, std::string body) {
+      deliveries_.push_back({host, std::move(id), std::move(key), std::move(body), SteadyClock::now()});
+    };
+    if (request.target() == "/inbox") {
+      add(request["X-Request-ID"], request["Idempotency-Key"], request.body());
+      return;
+    }
+    const json::value parsed = json::parse(request.body());
+    for (const json::value& value : parsed.as_array()) {
+      const json::object& entry = value.as_object();
+      add(std::string(entry.at("id").as_string()),
+          entry.contains("key") ? std::string(entry.at("key").as_string()) : "",
+          std::string(entry.at("body").as_string()));
+    }
+  }
+
+  // ------------------------------------------------------------------------------------ the relay
+  json::object config() const {
+    const auto cls = [](const char* name, const char* effect) {
+      return json::object{{"name", name},          {"aim", 1000.0},     {"deadline", 20000.0},
+                          {"idempotency", effect}, {"keyScope", "all"}, {"lateWorth", 0.5},
+                          {"window", 6000.0},      {"worth", 1.0}};
+    };
+    return {{"name", "n0"},
+            {"listen", "127.0.0.1:0"},
+            {"discovery", discovery_->address()},
+            {"seed", "8c1f30d27a5be964"},
+            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 128}, {"disk_mb", disk_mb_}}},
+            {"known", list()},
+            {"unheard_of", 1},
+            {"settings",
+             {{"allowed",
+               {{"connIdle", 9000.0},
+                {"connectTimeout", 1500.0},
+                {"maxAttempts", 4},
+                {"maxOpen", 40},
+                {"maxRetryAfter", 900.0},
+                {"retryAfter", true}}},
+              {"classes",
+               {cls("note", "idempotent"), cls("receipt", "deduplicated"), cls("refund", "at_most_once")}},
+              {"discovery", "subscribe"},
+              {"familyInfo",
+               {{"kindApart", {false, false}},
+                {"kindBatch", {10, 1}},
+                {"losesWorth", "halving"},
+                {"workers", 12}}},
+              {"hostTypes", {"bulk", "plain"}},
+              {"overShareWorth", 0.1},
+              {"rules",
+               {{"overloadFactor", 2.0},
+                {"overloadFor", 3000.0},
+                {"startCapacity", 0.2},
+                {"warmAfter", 9000.0},
+                {"askWithin", 10000.0}}},
+              {"stats", {{"fields", json::array()}}},
+              {"tick", 5.0},
+              {"weights", "off"}}}};
+  }
+
+  void start(std::optional<json::object> changed = std::nullopt) {
+    const fs::path file = folder_ / "config.json";
+    std::ofstream(file) << json::serialize(changed ? *changed : config());
+    process_.emplace(PROGRAM, std::map<std::string, std::string>{{"PROXY_CONFIG", file},
+                                                                 {"PROXY_STATE", folder_ / "state"}});
+    address_ = process_->address();
+    second_ = process_->second_address();
+  }
+  json::object with_second_address() const {
+    json::object changed = config();
+    changed["admin_addr"] = "127.0.0.1:0";
+    return changed;
+  }
+  // Says SIGHUP with another text of the configuration.
+  void reload(const std::string& text) {
+    std::ofstream(folder_ / "config.json") << text;
+    process_->signal(SIGHUP);
+  }
+  json::object moved_config() const {
+    json::object changed = config();
+    changed["discovery"] = moved_->address();
+    return changed;
+  }
+  bool wait_asked(const std::string& service, const std::string& target) {
+    return watched_.wait([&] {
+      return std::ranges::any_of(asked_[service], [&](const auto& t) { return t.starts_with(target); });
+    });
+  }
+  int stop(int signal) {
+    process_->signal(signal);
+    const int status = process_->wait();
+    process_.reset();
+    return status;
+  }
+
+  Request message(const std::string& id, const std::string& cls, int dest,
+                  const std::string& body = "hello") {
+    Request request{http::verb::post, "/" + cls, 11};
+    request.set("X-Request-ID", id);
+    request.set("X-Timeout-Ms", "20000");
+    request.set("X-Addressing", "dest=" + std::to_string(dest));
+    if (cls == "receipt") request.set("Idempotency-Key", "key-of-" + id);
+    request.body() = body;
+    request.prepare_payload();
+    return request;
+  }
+  unsigned hand_in(const std::string& id, const std::string& cls, int dest,
+                   const std::string& body = "hello") {
+    return ask(address_, message(id, cls, dest, body)).result_int();
+  }
+
+  std::size_t seen(const std::string& id) const {
+    return static_cast<std::size_t>(std::ranges::count(deliveries_, id, &Delivery::id));
+  }
+  bool wait_seen(const std::string& id, std::size_t times = 1) {
+    return watched_.wait([&, times] { return seen(id) >= times; });
+  }
+  std::size_t count_seen(const std::string& id) {
+    return watched_.read([&] { return seen(id); });
+  }
+  bool wait_notice(const std::string& id, const std::string& outcome) {
+    return watched_.wait([&] { return notices_.contains(id) && notices_.at(id) == outcome; });
+  }
+  // A later message of the same path went through: what was to happen to earlier ones has happened.
+  void pass_marker(const std::string& id, int dest) {
+    ASSERT_EQ(hand_in(id, "note", dest), 202U);
+    ASSERT_TRUE(wait_seen(id));
+  }
+
+  // Leaves a call without an answer until the test is over or lets it go.
+  Behaviour silent() {
+    return [this](tcp::socket& socket, Request&) {
+      watched_.wait([this] { return over_ || released_; });
+      return answer(socket, 200);
+    };
+  }
+
+  fs::path folder_;
+  double disk_mb_ = 3;
+  Watched watched_;
+  bool over_ = false, released_ = false;
+  int notices_to_fail_ = 0;
+  int watches_to_end_ = 0;
+  std::vector<std::string> pushed_;
+  std::map<std::string, std::string> notices_;
+  std::vector<Delivery> deliveries_;
+  std::map<std::string, Behaviour> behaviours_;
+  std::map<std::string, json::object> entries_;
+  std::map<std::string, std::vector<std::string>> asked_;  // targets, by service
+  std::string silent_service_;
+  std::optional<Peer> discovery_, moved_;
+  std::map<std::string, std::unique_ptr<Peer>> hosts_;
+  std::optional<Process> process_;
+  std::string address_, second_;
+};
+
+}  // namespace myrtlegrade::test
