--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <span>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -99,6 +100,34 @@
   ZoneId zone{};  // of the host that it went to
   Time sent{};
   bool may_have_run = false;  // also when its outcome was lost with the process
+  bool out = false;           // that process lives, and its call has no outcome yet
+  HostId host{};              // of what is out
+  std::uint64_t call = 0;     // attempts of equal number share one call
+};
+
+// What an earlier process had learned, where it could still tell: for the first step, behind the list.
+struct LaneLearned {
+  HostId host{};  // one of those that share a limit
+  int cap = 1;
+  bool slow = false, failing = false;
+  int failures = 0, refusals = 0;
+  Time refused_since{}, wait_until{}, pause_until{};
+  double pace = 0;
+  Time pace_cut_at{};
+  double usual_p95 = 0, usual_before = 0, usual_rate = 0, arrivals = 0;
+  std::vector<std::pair<Time, double>> latencies{};
+};
+struct HostLearned {
+  HostId host{};
+  bool cold = false;
+  std::optional<Time> warm_since{};
+  int failures = 0;
+  Time retry_at{}, last_success{};
+  double budget = 0;
+};
+struct Learned {
+  std::vector<LaneLearned> lanes;
+  std::vector<HostLearned> hosts;
 };
 
 struct Message {
@@ -149,7 +178,7 @@
   bool out = false;
 };
 
-using Event = std::variant<HostList, Message, Timer, Outcome, Withdrawn, ByHand>;
+using Event = std::variant<HostList, Message, Timer, Outcome, Withdrawn, ByHand, Learned>;
 
 struct Send {
   MessageId id{};
@@ -190,6 +219,9 @@
   // The first call starts the relay and should carry the list of hosts known so far.
   std::vector<Action> step(Time now, std::span<const Event> events);
 
+  // For the process that takes this one's place.
+  Learned learned(Time now);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -70,6 +70,13 @@
   retry_.cancel();
 }
 
+void Discovery::stop() {
+  notices_.clear();
+  if (const Stream old = std::exchange(watch_, nullptr)) old->close();
+  if (const Stream old = std::exchange(reports_, nullptr)) old->close();
+  retry_.cancel();
+}
+
 asio::awaitable<void> Discovery::run_watch(std::int64_t from, Stream stream) {
   co_await read_changes(from, stream);
   if (watch_ != stream) co_return;  // another has taken its place
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -33,6 +33,9 @@
   // no answer yet are sent there again.
   void move(const Endpoint& address, std::int64_t from);
 
+  // Watches and reports no more: another process does.
+  void stop();
+
   // Sent again until the platform has taken it.
   void send(Notice notice);
   bool notices_pending() const { return !notices_.empty(); }
--- /dev/null
+++ b/relay/frames.cpp
@@ -0,0 +1,183 @@
+#include "frames.h"
+
+#include <sstream>
+
+namespace myrtlegrade {
+
+using vetchhinge::HostId;
+using vetchhinge::Time;
+
+namespace {
+
+std::string name_of(const vetchhinge::drill::Names& names, HostId host) {
+  return names.name(static_cast<std::uint32_t>(host));
+}
+
+std::string text_of(const Endpoint& address) {
+  std::ostringstream text;
+  text << address;
+  return std::move(text).str();
+}
+
+}  // namespace
+
+Writer write(const Inheritance& all, const vetchhinge::drill::Names& hosts) {
+  Writer out(Frame::over);
+  out.flag(all.leaving).number(all.descriptors).number(all.last_call);
+  out.number(static_cast<std::uint64_t>(all.list.version)).number(all.list.hosts.size());
+  for (const ListedHost& listed : all.list.hosts) {
+    const auto& h = listed.host;
+    out.text(h.host).text(h.kind).text(h.zone).number(h.cell).flag(h.state == vetchhinge::HostState::running);
+    out.real(h.scale).text(text_of(listed.address));
+  }
+  out.number(all.learned.lanes.size());
+  for (const vetchhinge::LaneLearned& l : all.learned.lanes) {
+    out.text(name_of(hosts, l.host)).number(static_cast<std::uint64_t>(l.cap)).flag(l.slow).flag(l.failing);
+    out.number(static_cast<std::uint64_t>(l.failures)).number(static_cast<std::uint64_t>(l.refusals));
+    out.time(l.refused_since).time(l.wait_until).time(l.pause_until).real(l.pace).time(l.pace_cut_at);
+    out.real(l.usual_p95).real(l.usual_before).real(l.usual_rate).real(l.arrivals);
+    out.number(l.latencies.size());
+    for (const auto& [at, value] : l.latencies) out.time(at).real(value);
+  }
+  out.number(all.learned.hosts.size());
+  for (const vetchhinge::HostLearned& h : all.learned.hosts) {
+    out.text(name_of(hosts, h.host)).flag(h.cold).flag(h.warm_since.has_value());
+    out.time(h.warm_since.value_or(Time{})).number(static_cast<std::uint64_t>(h.failures));
+    out.time(h.retry_at).time(h.last_success).real(h.budget);
+  }
+  out.number(all.out.size());
+  for (const OutCall& c : all.out) {
+    out.text(c.message).text(c.cls).number(c.destination).number(c.attempt).text(c.host).text(c.zone);
+    out.number(c.call).time(c.sent).flag(c.over);
+  }
+  return out;
+}
+
+std::optional<Inheritance> read_inheritance(Reader& in, vetchhinge::drill::Names& hosts) {
+  Inheritance all;
+  const auto host = [&] { return HostId(hosts.number(in.text())); };
+  const auto whole = [&] { return static_cast<int>(in.number()); };
+  all.leaving = in.flag();
+  all.descriptors = in.number();
+  all.last_call = in.number();
+  all.list.version = static_cast<std::int64_t>(in.number());
+  all.list.full = true;
+  for (std::size_t n = in.count(); n > 0 && in.good; --n) {
+    ListedHost listed;
+    auto& h = listed.host;
+    h.host = in.text();
+    h.kind = in.text();
+    h.zone = in.text();
+    h.cell = in.number();
+    h.state = in.flag() ? vetchhinge::HostState::running : vetchhinge::HostState::draining;
+    h.scale = in.real();
+    const std::string address = in.text();
+    if (!in.good) return std::nullopt;
+    listed.address = parse_endpoint(address, "address");
+    all.list.hosts.push_back(std::move(listed));
+  }
+  for (std::size_t n = in.count(); n > 0 && in.good; --n) {
+    auto& l = all.learned.lanes.emplace_back();
+    l.host = host();
+    l.cap = whole();
+    l.slow = in.flag();
+    l.failing = in.flag();
+    l.failures = whole();
+    l.refusals = whole();
+    l.refused_since = in.time<Time>();
+    l.wait_until = in.time<Time>();
+    l.pause_until = in.time<Time>();
+    l.pace = in.real();
+    l.pace_cut_at = in.time<Time>();
+    l.usual_p95 = in.real();
+    l.usual_before = in.real();
+    l.usual_rate = in.real();
+    l.arrivals = in.real();
+    for (std::size_t samples = in.count(); samples > 0 && in.good; --samples) {
+      const Time at = in.time<Time>();
+      l.latencies.emplace_back(at, in.real());
+    }
+  }
+  for (std::size_t n = in.count(); n > 0 && in.good; --n) {
+    auto& h = all.learned.hosts.emplace_back();
+    h.host = host();
+    h.cold = in.flag();
+    const bool warming = in.flag();
+    const Time since = in.time<Time>();
+    if (warming) h.warm_since = since;
+    h.failures = whole();
+    h.retry_at = in.time<Time>();
+    h.last_success = in.time<Time>();
+    h.budget = in.real();
+  }
+  for (std::size_t n = in.count(); n > 0 && in.good; --n) {
+    OutCall& c = all.out.emplace_back();
+    c.message = in.text();
+    c.cls = in.text();
+    c.destination = in.number();
+    c.attempt = static_cast<std::uint32_t>(in.number());
+    c.host = in.text();
+    c.zone = in.text();
+    c.call = in.number();
+    c.sent = in.time<WallTime>();
+    c.over = in.flag();
+  }
+  if (!in.good) return std::nullopt;
+  return all;
+}
+
+Writer write_outcome(const std::string& message, std::uint32_t attempt, const CallResult& r) {
+  Writer out(Frame::outcome);
+  out.text(message).number(attempt).number(static_cast<std::uint64_t>(r.result)).flag(r.over);
+  out.span(r.wait).span(r.elapsed).flag(r.report.has_value());
+  const auto report = r.report.value_or(vetchhinge::LimitReport{});
+  out.real(report.share_left).real(report.calls_per_second);
+  return out.flag(r.connection.established).span(r.connection.idle);
+}
+
+CallResult read_result(Reader& in) {
+  CallResult r;
+  r.result = static_cast<vetchhinge::Result>(in.number());
+  r.over = in.flag();
+  r.wait = in.span();
+  r.elapsed = in.span();
+  const bool told = in.flag();
+  vetchhinge::LimitReport report;
+  report.share_left = in.real();
+  report.calls_per_second = in.real();
+  if (told) r.report = report;
+  r.connection.established = in.flag();
+  r.connection.idle = in.span();
+  return r;
+}
+
+Writer write_hand_in(std::uint64_t token, const HandIn& m) {
+  Writer out(Frame::hand_in);
+  out.number(token).text(m.id).text(m.cls).number(m.destination).text(m.key).text(m.body).span(m.time_left);
+  return out;
+}
+
+HandIn read_hand_in(Reader& in) {
+  HandIn m;
+  m.id = in.text();
+  m.cls = in.text();
+  m.destination = in.number();
+  m.key = in.text();
+  m.body = in.text();
+  m.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(in.span());
+  return m;
+}
+
+Writer write_answer(std::uint64_t token, const Answer& answer) {
+  Writer out(Frame::answer);
+  return out.number(token).number(static_cast<std::uint64_t>(answer.kind)).span(answer.retry_after);
+}
+
+Answer read_answer(Reader& in) {
+  Answer answer;
+  answer.kind = static_cast<Answer::Kind>(in.number());
+  answer.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(in.span());
+  return answer;
+}
+
+}  // namespace myrtlegrade
--- /dev/null
+++ b/relay/frames.h
@@ -0,0 +1,73 @@
+// What an old process and the new one say to each other. A change of any form here changes kLinkVersion.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bytes.h"
+#include "codec.h"
+#include "host_client.h"
+#include "host_list.h"
+#include "journal.h"
+#include "server.h"
+#include "vetchhinge/policy.h"
+
+namespace myrtlegrade {
+
+constexpr std::uint64_t kLinkVersion = 1;
+
+enum class Frame : std::uint8_t {
+  hello = 1,  // each side's first: its version
+  prepare,    // old to new: about to give over; answered by `prepared`
+  prepared,
+  over,      // old to new: the lock is free, and this is what I knew
+  outcome,   // of a call that was out then
+  hand_in,   // a client's message; answered by `answer`
+  answer,    //
+  unheard,   // the client went away before it could be told
+  usage,     // descriptors that the old process still holds
+  call,      // a line that came to the second address of the one that is not the relay
+  reply,     // its answer
+  returned,  // no answer: the one that asked is the relay itself by now
+};
+
+// A call that is out when a process gives over.
+struct OutCall {
+  std::string message;
+  std::string cls;
+  std::uint64_t destination = 0;
+  std::uint32_t attempt = 0;
+  std::string host;
+  std::string zone;
+  std::uint64_t call = 0;  // equal for those that travel together
+  WallTime sent{};
+  bool over = false;  // the message has its final answer
+};
+
+// What the journal does not tell.
+struct Inheritance {
+  ListUpdate list;
+  vetchhinge::Learned learned;
+  std::vector<OutCall> out;
+  bool leaving = false;
+  std::size_t descriptors = 0;  // that the old process still holds
+  std::uint64_t last_call = 0;  // numbers of calls go on from here
+};
+
+// Numbers of hosts are each process's own: names travel.
+Writer write(const Inheritance& inheritance, const vetchhinge::drill::Names& hosts);
+std::optional<Inheritance> read_inheritance(Reader& in, vetchhinge::drill::Names& hosts);
+
+Writer write_outcome(const std::string& message, std::uint32_t attempt, const CallResult& result);
+CallResult read_result(Reader& in);
+
+Writer write_hand_in(std::uint64_t token, const HandIn& message);
+HandIn read_hand_in(Reader& in);
+
+Writer write_answer(std::uint64_t token, const Answer& answer);
+Answer read_answer(Reader& in);
+
+}  // namespace myrtlegrade
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -296,6 +296,16 @@
   idle_.erase(found);
 }
 
+void HostClient::close_all_idle() {
+  idle_.clear();
+  idle_count_ = 0;
+}
+
+void HostClient::limit(std::size_t most_idle, std::size_t most) {
+  limits_.most_idle = most_idle;
+  limits_.most = most;
+}
+
 asio::awaitable<void> HostClient::run(std::shared_ptr<Call> call) {
   // No co_await in a condition: GCC 12 builds code for it that crashes.
   const bool connected = co_await connect(*call);
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -70,7 +70,13 @@
 
   void close_idle(vetchhinge::HostId host);
 
+  void close_all_idle();
+
+  // So many connections at most from now on, and so many of them idle.
+  void limit(std::size_t most_idle, std::size_t most);
+
   std::size_t calls_out() const { return calls_.size(); }
+  std::size_t connections() const { return calls_.size() + idle_count_; }
 
  private:
   struct Connection;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/crc.hpp>
 #include <cerrno>
 #include <cstdio>
 #include <cstring>
@@ -12,79 +11,31 @@
 #include <iterator>
 #include <limits>
 #include <optional>
+#include <stdexcept>
 #include <system_error>
 
+#include "bytes.h"
+
 namespace myrtlegrade {
 namespace {
 
-enum class Kind : std::uint8_t { accept = 1, attempt, never_ran, end, end_owing, notice_settled, ban, lift };
+enum class Kind : std::uint8_t {
+  accept = 1,
+  attempt,
+  never_ran,
+  end,
+  end_owing,
+  notice_settled,
+  ban,
+  lift,
+  format
+};
 
-constexpr std::size_t kHeader = 8;                 // length and checksum, four bytes each
 constexpr std::size_t kGrowth = 1024;              // what the attempts and the end of one message may add
 constexpr std::uint64_t kLeastCompact = 64 << 10;  // smaller files are not worth compacting
-constexpr std::uint64_t kBlock = 512;              // the disk limit counts whole blocks
-
-std::uint32_t checksum(std::string_view payload) {
-  boost::crc_32_type crc;
-  crc.process_bytes(payload.data(), payload.size());
-  return crc.checksum();
-}
-
-class Writer {
- public:
-  explicit Writer(Kind kind) { bytes_ += static_cast<char>(kind); }
-  Writer& number(std::uint64_t value) {
-    for (int shift = 0; shift < 64; shift += 8) bytes_ += static_cast<char>(value >> shift & 0xff);
-    return *this;
-  }
-  Writer& text(std::string_view value) {
-    number(value.size());
-    bytes_ += value;
-    return *this;
-  }
-  Writer& time(WallTime value) {
-    return number(static_cast<std::uint64_t>(value.time_since_epoch().count()));
-  }
-
-  std::string record() const {
-    std::string result;
-    for (const std::uint32_t value : {static_cast<std::uint32_t>(bytes_.size()), checksum(bytes_)}) {
-      for (int shift = 0; shift < 32; shift += 8) result += static_cast<char>(value >> shift & 0xff);
-    }
-    return result + bytes_;
-  }
-
- private:
-  std::string bytes_;
-};
-
-// Reads what Writer wrote; `good` turns false, for all that follows, where the bytes run out.
-class Reader {
- public:
-  explicit Reader(std::string_view bytes) : rest_(bytes) {}
-  std::uint64_t number(int bytes = 8) {
-    std::uint64_t value = 0;
-    const std::string_view part = take(static_cast<std::size_t>(bytes));
-    for (std::size_t i = 0; i < part.size(); ++i) {
-      value |= static_cast<std::uint64_t>(static_cast<unsigned char>(part[i])) << (8 * i);
-    }
-    return value;
-  }
-  std::string text() { return std::string(take(number())); }
-  WallTime time() { return WallTime(std::chrono::microseconds(static_cast<std::int64_t>(number()))); }
-  std::string_view take(std::size_t count) {
-    good = good && count <= rest_.size();
-    if (!good) return {};
-    const std::string_view part = rest_.substr(0, count);
-    rest_.remove_prefix(count);
-    return part;
-  }
-  bool empty() const { return rest_.empty(); }
-  bool good = true;
-
- private:
-  std::string_view rest_;
-};
+// What the first record tells; without one it is 1, which knew no bans.
+constexpr std::uint64_t kFormat = 2;
+constexpr std::uint64_t kBlock = 512;  // the disk limit counts whole blocks
 
 std::uint64_t whole_blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
 
@@ -106,6 +57,7 @@
   if (file_ < 0) throw std::system_error(errno, std::generic_category(), "PROXY_STATE: " + path());
   std::ifstream in(path(), std::ios::binary);
   read({std::istreambuf_iterator<char>(in), {}});
+  if (size_ == 0) pending_ = Writer(Kind::format).number(kFormat).record();
   // A torn tail would hide every record behind it.
   if (::ftruncate(file_, static_cast<off_t>(size_)) != 0) {
     throw std::system_error(errno, std::generic_category(), "PROXY_STATE: " + path());
@@ -117,28 +69,31 @@
 void Journal::read(const std::string& text) {
   Reader in(text);
   while (!in.empty()) {
-    const std::size_t length = in.number(4);
-    const auto sum = static_cast<std::uint32_t>(in.number(4));
-    const std::string_view payload = in.take(length);
-    if (!in.good || sum != checksum(payload) || !apply(payload)) break;
-    size_ += kHeader + length;
+    const auto payload = in.record();
+    if (!payload || !apply(*payload)) break;
+    size_ += kRecordHeader + payload->size();
   }
 }
 
 // One record read back: rebuilds the state in memory that writing it had built.
 bool Journal::apply(std::string_view payload) {
   Reader in(payload);
-  const auto kind = static_cast<Kind>(in.number(1));
+  const auto kind = in.kind<Kind>();
+  if (kind == Kind::format) {
+    // Cut off at what it can't read, a journal of a later program would lose what is owed.
+    if (in.number() > kFormat) throw std::runtime_error("PROXY_STATE: the journal is of a later program");
+    return in.good;
+  }
   const std::string id = in.text();
   const auto found = std::ranges::find(messages_, id, &StoredMessage::id);
   const bool known = found != messages_.end();
   if (kind == Kind::accept) {
-    StoredMessage m{id, in.text(), in.number(), in.text(), in.text(), in.time(), {}};
+    StoredMessage m{id, in.text(), in.number(), in.text(), in.text(), in.time<WallTime>(), {}};
     if (!in.good) return false;
     accept(m);
     if (!known) messages_.push_back(std::move(m));
   } else if (kind == Kind::attempt) {
-    StoredAttempt a{in.text(), in.text(), in.time()};
+    StoredAttempt a{in.text(), in.text(), in.time<WallTime>()};
     if (!in.good) return false;
     attempt(id, a);
     if (known) found->attempts.push_back(std::move(a));
@@ -256,13 +211,19 @@
 }
 
 std::string Journal::live_records() const {
-  std::string text;
+  std::string text = Writer(Kind::format).number(kFormat).record();
   for (const std::string& host : banned_) text += Writer(Kind::ban).text(host).record();
   for (const auto& [number, entry] : live_) text += entry.records;
   return text;
 }
 
+void Journal::retire() {
+  retired_ = true;
+  pending_.clear();
+}
+
 bool Journal::flush() {
+  if (retired_) return false;
   if (pending_.empty()) return true;
   std::uint64_t live = 0;
   for (const auto& [number, entry] : live_) live += entry.records.size();
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -70,6 +70,9 @@
   void lift(const std::string& host);
   const std::set<std::string>& banned() const { return banned_; }
 
+  // Another process writes from now on.
+  void retire();
+
   // False if the disk takes no more: the records are kept for the next try, and nothing that depends on
   // them may be done.
   bool flush();
@@ -91,8 +94,9 @@
   std::string folder_;
   std::uint64_t most_;
   int file_ = -1;
-  std::uint64_t size_ = 0;      // of the file
-  std::string pending_;         // not written yet
+  std::uint64_t size_ = 0;  // of the file
+  std::string pending_;     // not written yet
+  bool retired_ = false;
   bool failing_ = false;        // the last flush did not succeed
   std::uint64_t reserved_ = 0;  // bytes of live records, with what they may grow by
   std::uint64_t next_ = 0;
--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -7,15 +7,15 @@
 #include <iostream>
 
 #include "config.h"
-#include "relay.h"
+#include "succession.h"
 
 namespace {
 
 // A file that can't be used must not cost a relay that works: it goes on with what it has, and says so.
-void reload(myrtlegrade::Relay& relay) {
+void reload(myrtlegrade::Succession& succession) {
   try {
     const myrtlegrade::Endpoint discovery = myrtlegrade::load_config().discovery;
-    relay.move_discovery(discovery);
+    succession.move_discovery(discovery);
     std::cerr << "myrtlegrade: configuration read again, discovery at " << discovery << std::endl;
   } catch (const std::exception& e) {
     std::cerr << "myrtlegrade: configuration kept: " << e.what() << std::endl;
@@ -30,23 +30,20 @@
     // Before all that takes time: until it is handled, each of these signals ends the process.
     boost::asio::signal_set endings(context, SIGTERM, SIGINT);
     boost::asio::signal_set reloads(context, SIGHUP);
-    myrtlegrade::Relay relay(context.get_executor(), myrtlegrade::load_config());
+    myrtlegrade::Succession succession(context.get_executor(), myrtlegrade::load_config(),
+                                       [&] { context.stop(); });
     endings.async_wait([&](boost::system::error_code error, int) {
-      if (!error) relay.drain([&] { context.stop(); });
+      if (!error) succession.end();
     });
     std::function<void()> await_reload = [&] {
       reloads.async_wait([&](boost::system::error_code error, int) {
         if (error) return;
-        reload(relay);
+        reload(succession);
         await_reload();
       });
     };
     await_reload();
-    relay.start();
-    if (const auto admin = relay.second_address()) {
-      std::cerr << "myrtlegrade: second address on " << *admin << std::endl;
-    }
-    std::cerr << "myrtlegrade: listening on " << relay.address() << std::endl;
+    succession.start();
     context.run();
   } catch (const std::exception& e) {
     std::cerr << "myrtlegrade: " << e.what() << '\n';
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -6,6 +6,8 @@
 #include <type_traits>
 #include <utility>
 
+#include "admin_server.h"
+
 namespace myrtlegrade {
 
 using vetchhinge::Duration;
@@ -25,13 +27,15 @@
 constexpr double kClientShare = 0.54;
 constexpr double kHostShare = 0.43;
 constexpr double kIdleHostShare = 0.27;
-constexpr std::size_t kSetAside = 14 + AdminServer::kMostCallers;
+constexpr std::size_t kSetAside = 20 + AdminServer::kMostCallers;
+constexpr std::size_t kLeastShared = 64;     // whatever another process holds
 constexpr std::uint32_t kMostListeners = 4;  // to one message
 
 // A planned restart kills the process some 3.7 s after SIGTERM.
 constexpr auto kWorkOn = 1500ms;      // messages are still taken on and sent
 constexpr auto kClientsCome = 600ms;  // new connections may still be on their way
 constexpr auto kLeaveAfter = 2800ms;  // whatever is out then
+constexpr auto kGoneAfter = 3200ms;   // the same where a new process serves meanwhile
 constexpr auto kDrainLook = 20ms;
 
 constexpr auto kWatchAgain = 200ms;  // the agent that answers is on this machine
@@ -43,7 +47,7 @@
 }
 
 std::size_t part_of(std::size_t descriptors, double share) {
-  const std::size_t shared = std::max(descriptors, 2 * kSetAside) - kSetAside;
+  const std::size_t shared = std::max(descriptors, kSetAside + kLeastShared) - kSetAside;
   return static_cast<std::size_t>(static_cast<double>(shared) * share);
 }
 
@@ -51,7 +55,8 @@
 
 }  // namespace
 
-Relay::Relay(boost::asio::any_io_executor executor, Config config)
+Relay::Relay(boost::asio::any_io_executor executor, Config config, boost::asio::ip::tcp::acceptor listening,
+             std::optional<std::string> inherited)
     : executor_(executor),
       config_(std::move(config)),
       journal_(config_.state_folder, config_.disk_bytes),
@@ -67,7 +72,7 @@
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
           [this] { watch_lost(); }, [this](const std::string& message) { journal_.notice_settled(message); }),
       server_(
-          executor, config_.listen, part_of(config_.sockets, kClientShare), [this] { return ready(); },
+          executor, std::move(listening), part_of(config_.sockets, kClientShare), [this] { return ready(); },
           [this](HandIn message, Server::Respond respond) {
             hand_in(std::move(message), std::move(respond));
           },
@@ -76,21 +81,43 @@
       watch_timer_(executor),
       log_timer_(executor),
       drain_timer_(executor) {
-  if (!config_.admin) return;
-  admin_.emplace(executor, *config_.admin,
-                 [this](const std::string& line, const AdminServer::Reply& reply) { reply(called(line)); });
+  if (!inherited) return;
+  Reader in(*inherited);
+  inherited_ = read_inheritance(in, config_.dialect.hosts);
+  if (!inherited_) std::cerr << "myrtlegrade: what the old process knew can't be read" << std::endl;
 }
 
 void Relay::start() {
-  vetchhinge::HostList cached = take_list(config_.known);
+  const auto inherited = std::exchange(inherited_, std::nullopt);
+  vetchhinge::HostList cached = take_list(inherited ? inherited->list : config_.known);
   cached.kind = vetchhinge::HostList::Kind::cached;
+  if (inherited) {
+    // The module gets to know a host when it hears that it runs: also one that drains by now, for what was
+    // learned there, as a told wait, binds towards all of its destination.
+    vetchhinge::HostList once = cached;
+    for (vetchhinge::HostEntry& entry : once.entries) entry.state = HostState::running;
+    events_.emplace_back(std::move(once));
+  }
   events_.emplace_back(std::move(cached));
+  if (inherited) events_.emplace_back(inherited->learned);
   for (const std::string& host : journal_.banned()) tell_by_hand(host, true);
   for (const Notice& notice : journal_.take_notices()) discovery_.send(notice);
-  for (const StoredMessage& stored : journal_.take_messages()) take_up(stored);
+  std::unordered_map<std::string, const OutCall*> out;
+  if (inherited) {
+    last_call_ = inherited->last_call;
+    leave_descriptors(inherited->descriptors);
+    if (inherited->leaving) server_.leave();
+    for (const OutCall& call : inherited->out) {
+      if (call.over) take_up_out(call);
+      if (!call.over) out[call.message] = &call;
+    }
+  }
+  for (const StoredMessage& stored : journal_.take_messages()) {
+    const auto at = out.find(stored.id);
+    take_up(stored, at == out.end() ? nullptr : at->second);
+  }
   step();
   server_.start();
-  if (admin_) admin_->start();
   if (!config_.settings.list_on_request) discovery_.watch(list_version_);
   keep_log();
 }
@@ -109,6 +136,7 @@
 // ---------------------------------------------------------------------------------- what happens
 
 void Relay::hand_in(HandIn message, Server::Respond respond) {
+  if (successor_) return successor_->hand_in(std::move(message), std::move(respond));
   const auto cls = config_.dialect.classes.find(message.cls);
   if (!cls) return respond({Answer::Kind::unknown_class});
   const bool keyed = config_.settings.classes[*cls].effect == Effect::deduplicated;
@@ -155,7 +183,7 @@
 }
 
 // What an earlier process had taken on, with what it knew of the message's attempts.
-void Relay::take_up(const StoredMessage& stored) {
+void Relay::take_up(const StoredMessage& stored, const OutCall* out) {
   const auto cls = config_.dialect.classes.find(stored.cls);
   if (!cls) {  // the class is gone from the settings: nobody can say what a repeat would do
     const Notice notice{stored.id, false, {}};
@@ -177,14 +205,47 @@
   vetchhinge::Message message{
       id, *cls, vetchhinge::DestinationId(stored.destination), here(stored.deadline), {}, {}, {}};
   for (const StoredAttempt& attempt : stored.attempts) {
-    message.past.push_back({vetchhinge::ZoneId(config_.dialect.zones.number(attempt.zone)),
+    message.past.push_back({vetchhinge::ZoneId{config_.dialect.zones.number(attempt.zone)},
                             here(attempt.sent), attempt.may_have_run});
   }
+  if (out && out->attempt < message.past.size()) message.past[out->attempt] = past(open_.at(id), *out);
   events_.emplace_back(std::move(message));
 }
 
+// One that is over, but has a call out that still takes a slot.
+void Relay::take_up_out(const OutCall& out) {
+  const auto cls = config_.dialect.classes.find(out.cls);
+  if (!cls || ids_.contains(out.message)) return;
+  const MessageId id = new_id();
+  Open& open = open_[id];
+  open.payload = std::make_shared<const Payload>(Payload{out.message, {}, {}});
+  open.cls = out.cls;
+  open.destination = out.destination;
+  open.attempts = out.attempt + 1;
+  open.over = true;
+  ids_.emplace(out.message, id);
+  vetchhinge::Message message{id, *cls, vetchhinge::DestinationId(out.destination), now(), {}, {}, {}};
+  message.past.resize(out.attempt);  // that never ran, for all that it matters now
+  message.past.push_back(past(open, out));
+  events_.emplace_back(std::move(message));
+}
+
+vetchhinge::PastAttempt Relay::past(Open& open, const OutCall& out) {
+  const HostId id{config_.dialect.hosts.number(out.host)};
+  const auto [host, added] = hosts_.try_emplace(id);
+  if (added) {  // gone from the list meanwhile
+    host->second.cell = out.destination;
+    host->second.zone = out.zone;
+  }
+  ++host->second.out;
+  open.out.push_back({out.attempt, id, out.call, out.sent, true});
+  const vetchhinge::ZoneId zone{config_.dialect.zones.number(out.zone)};
+  return {zone, now() + (out.sent - wall_now()), true, true, id, out.call};
+}
+
 // The client did not hear that its message is taken on, so it hands it in again elsewhere.
 void Relay::unheard(const std::string& id) {
+  if (successor_) return successor_->unheard(id);
   const auto found = ids_.find(id);
   if (found == ids_.end()) return;
   const MessageId message = found->second;
@@ -197,9 +258,10 @@
 
 void Relay::reported(HostId host, const CallItem& item, const CallResult& result) {
   Open& open = open_.at(item.message);
-  --open.out;
+  std::erase_if(open.out, [&](const Out& out) { return out.attempt == item.attempt; });
   counters_.outcome(result.result);
   if (result.result == Result::delivered && !open.over) ++counters_.delivered;
+  if (successor_) return successor_->outcome(open.payload->id, item.attempt, result);
   Outcome outcome;
   outcome.id = item.message;
   outcome.attempt = item.attempt;
@@ -280,6 +342,7 @@
     host.cell = listed.host.cell;
     host.zone = listed.host.zone;
     host.kind = entry.kind;
+    host.weight = listed.host.scale;
   }
   for (const HostId id : were_running) {
     if (!hosts_.at(id).running) host_client_.withhold(id);
@@ -312,7 +375,6 @@
   const std::string host = blank == std::string::npos ? "" : line.substr(blank + 1);
   if (!host.empty() && call == "OFFLINE") return take_out(host);
   if (!host.empty() && call == "ONLINE") return put_back(host);
-  if (line == "HEALTH") return !ready() ? "NAK no host is known yet" : draining_ ? "NAK ending" : "ACK";
   if (line == "LEAVE") {
     server_.leave();
     return "ACK";
@@ -487,11 +549,14 @@
     items = &calls.emplace_back(send.host, std::vector<CallItem>{}).second;
   }
   if (open.attempts > 0) ++counters_.repeats;
+  const WallTime sent = wall_now();
+  const std::uint64_t number =
+      items->empty() ? ++last_call_ : open_.at(items->front().message).out.back().call;
+  open.out.push_back({open.attempts, send.host, number, sent, false});
   items->push_back({send.id, open.attempts++, open.payload, send.timeout, send.idle_most, send.prove});
-  ++open.out;
   ++hosts_.at(send.host).out;
-  journal_.attempt(open.payload->id, {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)),
-                                      host.zone, wall_now()});
+  journal_.attempt(open.payload->id,
+                   {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
 }
 
 void Relay::not_sent(const Calls& calls) {
@@ -515,7 +580,7 @@
   if (found == open_.end()) return;
   Open& open = found->second;
   if (!std::exchange(open.over, true)) --held_;
-  if (open.out > 0) return;
+  if (!open.out.empty()) return;
   ids_.erase(open.payload->id);
   open_.erase(found);
 }
@@ -541,6 +606,101 @@
 
 // ------------------------------------------------------------------------------------------ drain
 
+// What it knows goes out in one piece, between two steps: from here on every decision is the new process's.
+Writer Relay::give_over(Successor successor, std::function<void()> done) {
+  timers_.clear();
+  step();
+  server_.stop_accepting();
+  server_.drain();
+  draining_ = closing_ = true;
+  step_timer_.cancel();
+  watch_timer_.cancel();
+  journal_.flush();
+  journal_.retire();
+  discovery_.stop();
+  host_client_.close_all_idle();
+  host_client_.limit(0, config_.sockets);
+  Inheritance all;
+  all.list = list_now();
+  all.learned = sender_.learned(now());
+  all.out = calls_out();
+  all.leaving = server_.leaving();
+  all.descriptors = descriptors();
+  all.last_call = last_call_;
+  successor_ = std::move(successor);
+  drained_ = std::move(done);
+  draining_since_ = SteadyClock::now();
+  drain_further();
+  return write(all, config_.dialect.hosts);
+}
+
+std::vector<OutCall> Relay::calls_out() const {
+  std::vector<OutCall> all;
+  for (const auto& [id, open] : open_) {
+    for (const Out& out : open.out) {
+      all.push_back({open.payload->id, open.cls, open.destination, out.attempt,
+                     config_.dialect.hosts.name(static_cast<std::uint32_t>(out.host)),
+                     hosts_.at(out.host).zone, out.call, out.sent, open.over});
+    }
+  }
+  return all;
+}
+
+ListUpdate Relay::list_now() const {
+  ListUpdate list;
+  list.version = list_version_;
+  list.full = true;
+  for (const auto& [id, host] : hosts_) {
+    if (!host.listed) continue;
+    vetchhinge::drill::WireHost listed;
+    listed.host = config_.dialect.hosts.name(static_cast<std::uint32_t>(id));
+    listed.kind = config_.dialect.kinds.name(host.kind);
+    listed.zone = host.zone;
+    listed.cell = host.cell;
+    listed.state = host.running ? HostState::running : HostState::draining;
+    listed.scale = host.weight;
+    list.hosts.push_back({std::move(listed), host.address});
+  }
+  return list;
+}
+
+void Relay::reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result) {
+  const auto found = ids_.find(id);
+  if (found == ids_.end()) return;
+  const Open& open = open_.at(found->second);
+  for (const Out& out : open.out) {
+    if (out.attempt != attempt || !out.elsewhere) continue;
+    CallItem item;
+    item.message = found->second;
+    item.attempt = attempt;
+    return reported(HostId(out.host), item, result);
+  }
+}
+
+// Its connections are closed. Nothing tells what became of its calls.
+void Relay::predecessor_gone() {
+  leave_descriptors(0);
+  std::vector<std::pair<std::string, std::uint32_t>> left;
+  for (const auto& [id, open] : open_) {
+    for (const Out& out : open.out) {
+      if (out.elsewhere) left.emplace_back(open.payload->id, out.attempt);
+    }
+  }
+  for (const auto& [id, attempt] : left) {
+    reported_elsewhere(id, attempt, {Result::cancelled, false, {}, {}, {}, {}});
+  }
+}
+
+void Relay::leave_descriptors(std::size_t count) {
+  const std::size_t left = config_.sockets - std::min(count, config_.sockets);
+  server_.limit(part_of(left, kClientShare));
+  host_client_.limit(part_of(left, kIdleHostShare), part_of(left, kHostShare));
+}
+
+std::size_t Relay::descriptors() const {
+  return server_.connections() + host_client_.connections() + kSetAside;
+}
+
 void Relay::drain(std::function<void()> done) {
   if (std::exchange(draining_, true)) return;
   drained_ = std::move(done);
@@ -556,10 +716,11 @@
     closing_ = true;
   }
   journal_.flush();
-  const bool idle = passed >= kClientsCome && held_ == 0 && server_.connections() == 0 &&
+  const bool idle = !successor_ && passed >= kClientsCome && held_ == 0 && server_.connections() == 0 &&
                     host_client_.calls_out() == 0 && !discovery_.notices_pending();
-  const bool quiet = closing_ && host_client_.calls_out() == 0 && server_.connections() == 0;
-  if (idle || quiet || passed >= kLeaveAfter) {
+  const bool quiet = closing_ && host_client_.calls_out() == 0 && server_.connections() == 0 &&
+                     (!successor_ || successor_->told_all());
+  if (idle || quiet || passed >= (successor_ ? kGoneAfter : kLeaveAfter)) {
     log_counters();
     drained_();
     return;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -15,10 +15,10 @@
 #include <unordered_set>
 #include <vector>
 
-#include "admin_server.h"
 #include "config.h"
 #include "counters.h"
 #include "discovery.h"
+#include "frames.h"
 #include "host_client.h"
 #include "journal.h"
 #include "server.h"
@@ -28,15 +28,15 @@
 
 class Relay {
  public:
-  Relay(boost::asio::any_io_executor executor, Config config);
+  // With what an earlier process that gave over knew, where there is one.
+  Relay(boost::asio::any_io_executor executor, Config config, boost::asio::ip::tcp::acceptor listening,
+        std::optional<std::string> inherited);
 
   // Takes up what the journal holds, and begins to work.
   void start();
 
   Endpoint address() const { return server_.address(); }
-  std::optional<Endpoint> second_address() const {
-    return admin_ ? std::optional(admin_->address()) : std::nullopt;
-  }
+  int listening_descriptor() { return server_.listening_descriptor(); }
 
   // The journal is read back and hosts are known.
   bool ready() const { return list_known_; }
@@ -48,7 +48,39 @@
   // when the process may go; what is owed then stays in the journal.
   void drain(std::function<void()> done);
 
+  // ------------------------------------------------------------------ from one process to the next
+  // Where all goes that comes to this process after it has given over.
+  struct Successor {
+    std::function<void(HandIn, Server::Respond)> hand_in;
+    std::function<void(const std::string& id)> unheard;
+    std::function<void(const std::string& id, std::uint32_t attempt, const CallResult& result)> outcome;
+    std::function<bool()> told_all;
+  };
+  // Decides a last time, and writes nothing any more. What is out ends here; `done` as with drain().
+  Writer give_over(Successor successor, std::function<void()> done);
+
+  // What the earlier process tells after that, and its end: calls that it had out may have run.
+  void reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result);
+  void predecessor_gone();
+
+  // So many are in use by another process that counts with this one.
+  void leave_descriptors(std::size_t count);
+  std::size_t descriptors() const;
+
+  void hand_in(HandIn message, Server::Respond respond);
+  void unheard(const std::string& id);
+
+  // The operators' call, in one line each way.
+  std::string called(const std::string& line);
+
  private:
+  struct Out {  // an attempt without an outcome
+    std::uint32_t attempt = 0;
+    vetchhinge::HostId host{};
+    std::uint64_t call = 0;
+    WallTime sent{};
+    bool elsewhere = false;  // at the earlier process
+  };
   struct Open {  // a message that is not over, or still has an attempt out
     std::shared_ptr<const Payload> payload;
     std::string cls;
@@ -57,7 +89,7 @@
     Server::Respond respond;      // set until the client has its answer
     std::uint32_t listeners = 1;  // connections that handed it in and may hear the answer
     std::uint32_t attempts = 0;
-    std::uint32_t out = 0;
+    std::vector<Out> out;
     bool over = false;
 
     bool is(const HandIn& m) const {
@@ -71,20 +103,22 @@
     bool running = false;
     std::string zone;
     std::uint32_t kind = 0;
+    double weight = 1;
     std::size_t out = 0;  // attempts without an outcome
   };
   using Calls = std::vector<std::pair<vetchhinge::HostId, std::vector<CallItem>>>;
 
-  void hand_in(HandIn message, Server::Respond respond);
-  void unheard(const std::string& id);
   void reported(vetchhinge::HostId host, const CallItem& item, const CallResult& result);
   void listed(const ListUpdate& update);
   void watch_lost();
   vetchhinge::HostList take_list(const ListUpdate& update);
-  void take_up(const StoredMessage& stored);
+  void take_up(const StoredMessage& stored, const OutCall* out);
+  void take_up_out(const OutCall& out);
+  vetchhinge::PastAttempt past(Open& open, const OutCall& out);
+  std::vector<OutCall> calls_out() const;
+  ListUpdate list_now() const;
   void forget_if_gone(vetchhinge::HostId host);
 
-  std::string called(const std::string& line);
   std::string take_out(const std::string& host);
   std::string put_back(const std::string& host);
   void tell_by_hand(const std::string& host, bool out);
@@ -112,7 +146,6 @@
   HostClient host_client_;
   Discovery discovery_;
   Server server_;
-  std::optional<AdminServer> admin_;
 
   std::unordered_map<vetchhinge::MessageId, Open> open_;
   std::unordered_map<std::string, vetchhinge::MessageId> ids_;
@@ -120,6 +153,10 @@
   std::vector<vetchhinge::Event> events_;
   std::size_t held_ = 0;  // messages that are not over
   std::uint32_t last_id_ = 0;
+  std::uint64_t last_call_ = 0;
+
+  std::optional<Inheritance> inherited_;  // until it is taken up
+  std::optional<Successor> successor_;    // set once this process has given over
 
   std::unordered_map<vetchhinge::HostId, Host> hosts_;
   // Ever listed: one whose hosts are all being replaced is still a partner. Partners are few, and stay.
--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -190,10 +190,10 @@
   Clock::time_point since = Clock::now();
 };
 
-Server::Server(asio::any_io_executor executor, const Endpoint& listen, std::size_t most_connections,
-               Ready ready, OnHandIn on_hand_in, OnUnheard on_unheard)
+Server::Server(asio::any_io_executor executor, asio::ip::tcp::acceptor listening,
+               std::size_t most_connections, Ready ready, OnHandIn on_hand_in, OnUnheard on_unheard)
     : executor_(std::move(executor)),
-      acceptor_(executor_, listen),
+      acceptor_(std::move(listening)),
       room_(executor_),
       most_(most_connections),
       ready_(std::move(ready)),
@@ -231,12 +231,21 @@
   }
 }
 
+void Server::drain() {
+  if (!std::exchange(draining_, true)) close_idle();
+}
+
 void Server::leave() {
   if (!std::exchange(leaving_, true)) close_idle();
 }
 
+void Server::stop_accepting() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+}
+
 void Server::close_idle() {
-  if (!leaving_) return;
+  if (!leaving_ && !draining_) return;
   const auto now = Session::Clock::now();
   for (const auto& session : sessions_) {
     if (session->state != Session::State::idle || now - session->since < kLeaveIdle) continue;
@@ -252,7 +261,7 @@
 asio::awaitable<void> Server::accept() {
   while (true) {
     auto [error, socket] = co_await acceptor_.async_accept(kAwait);
-    if (error == asio::error::operation_aborted) co_return;
+    if (error && !acceptor_.is_open()) co_return;
     // Out of descriptors, the client is gone again, or all connections are at work: further ones wait in the
     // backlog for a moment.
     while (!error && open_ >= most_ && !shed()) {
--- a/relay/server.h
+++ b/relay/server.h
@@ -44,20 +44,27 @@
   // The client went away before it could be told that its message is taken on.
   using OnUnheard = std::function<void(const std::string& id)>;
 
-  // Throws boost::system::system_error if the address can't be listened on.
-  Server(boost::asio::any_io_executor executor, const Endpoint& listen, std::size_t most_connections,
-         Ready ready, OnHandIn on_hand_in, OnUnheard on_unheard);
+  Server(boost::asio::any_io_executor executor, boost::asio::ip::tcp::acceptor listening,
+         std::size_t most_connections, Ready ready, OnHandIn on_hand_in, OnUnheard on_unheard);
   ~Server();
 
   void start();
-  void drain() { draining_ = true; }  // answers say that the connection ends
+  // Each connection ends with its next answer, or once it has been idle for a while.
+  void drain();
 
-  // Empties itself of connections: each ends with its next answer, or once it has been idle for a while.
-  // /_health says no, so that no more come; those that do are served. `join` takes that back.
+  // Another process that holds the listening socket too takes further connections.
+  void stop_accepting();
+
+  // So many connections at most from now on; those that are open go on.
+  void limit(std::size_t most_connections) { most_ = most_connections; }
+
+  // As drain(), and /_health says no, so that no more come; those that do are served. join() takes it back.
   void leave();
   void join() { leaving_ = false; }
+  bool leaving() const { return leaving_; }
   std::size_t connections() const { return open_; }
   Endpoint address() const { return acceptor_.local_endpoint(); }
+  int listening_descriptor() { return acceptor_.native_handle(); }
 
  private:
   struct Session;
--- /dev/null
+++ b/relay/succession.cpp
@@ -0,0 +1,337 @@
+#include "succession.h"
+
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <iostream>
+#include <utility>
+
+#include "coroutine.h"
+
+namespace myrtlegrade {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+constexpr auto kLook = 20ms;       // between looks whether another process still is the relay
+constexpr auto kGreetWithin = 1s;  // for the other process to begin; one that is stalled says nothing
+constexpr auto kPrepareWithin = 300ms;
+constexpr auto kAddressWithin = 3s;  // for a process that has just died to let go of the clients' address
+constexpr auto kTellEvery = 50ms;
+
+}  // namespace
+
+Succession::Succession(asio::any_io_executor executor, Config config, std::function<void()> done)
+    : executor_(executor),
+      config_(std::move(config)),
+      done_(std::move(done)),
+      lock_(config_.state_folder),
+      pause_(executor),
+      successors_(executor),
+      prepare_timer_(executor),
+      usage_timer_(executor) {
+  if (!config_.admin) return;
+  admin_.emplace(executor, *config_.admin,
+                 [this](const std::string& line, const AdminServer::Reply& reply) { called(line, reply); });
+  std::cerr << "myrtlegrade: second address on " << admin_->address() << std::endl;
+}
+
+void Succession::start() {
+  if (admin_) admin_->start();
+  // At once where nobody else is there: the relay serves as soon as its process runs.
+  if (!take_office()) spawn(executor_, seek());
+}
+
+void Succession::end() {
+  if (std::exchange(ending_, true)) return;
+  if (!relay_) return done_();
+  boost::system::error_code ignored;
+  successors_.close(ignored);
+  if (!successor_ || !successor_ready_) return leave_alone();
+  // One that is stalled must not be given what it can't carry on.
+  successor_->send(Writer(Frame::prepare));
+  prepare_timer_.expires_after(kPrepareWithin);
+  prepare_timer_.async_wait([this](boost::system::error_code error) {
+    if (error || given_over_) return;
+    std::cerr << "myrtlegrade: the new process does not answer" << std::endl;
+    leave_alone();
+  });
+}
+
+void Succession::leave_alone() {
+  successor_ready_ = false;
+  if (const Links link = std::exchange(successor_, nullptr)) link->close();
+  relay_->drain(done_);
+}
+
+void Succession::move_discovery(const Endpoint& address) {
+  config_.discovery = address;
+  if (relay_ && !given_over_) relay_->move_discovery(address);
+}
+
+// ------------------------------------------------------------------------------------- which one
+
+// False while another process is the relay, or the address is not free yet.
+bool Succession::take_office() {
+  if (!lock_.try_take()) return false;
+  if (!listening_) {
+    try {
+      listening_.emplace(executor_, config_.listen);
+    } catch (const boost::system::system_error& e) {
+      if (e.code() != asio::error::address_in_use || SteadyClock::now() - started_ > kAddressWithin) throw;
+      lock_.release();
+      return false;
+    }
+  }
+  become(std::nullopt);
+  return true;
+}
+
+asio::awaitable<void> Succession::seek() {
+  while (!relay_ && !ending_) {
+    co_await stand_by();
+    if (relay_ || ending_ || take_office()) co_return;
+    pause_.expires_after(kLook);
+    co_await pause_.async_wait(kAwait);
+  }
+}
+
+void Succession::become(std::optional<std::string> inherited) {
+  relay_.emplace(executor_, config_, std::move(*listening_), std::move(inherited));
+  listening_.reset();
+  relay_->start();
+  std::cerr << "myrtlegrade: listening on " << relay_->address() << std::endl;
+  const auto place = Link::place(config_.state_folder);
+  ::unlink(place.path().c_str());  // of a process that is no relay any more
+  try {
+    successors_.open(place.protocol());
+    successors_.bind(place);
+    successors_.listen();
+    ::chmod(place.path().c_str(), 0600);
+    spawn(executor_, await_successors());
+  } catch (const std::exception& e) {  // no reason not to serve
+    std::cerr << "myrtlegrade: no successor can take over: " << e.what() << std::endl;
+  }
+}
+
+// --------------------------------------------------------------------------------------- standing by
+
+asio::awaitable<void> Succession::stand_by() {
+  Link::Protocol::socket socket(executor_);
+  const auto [error] = co_await socket.async_connect(Link::place(config_.state_folder), kAwait);
+  if (error) co_return;
+  const auto link = std::make_shared<Link>(std::move(socket));
+  pause_.expires_after(kGreetWithin);
+  pause_.async_wait([link](boost::system::error_code stopped) {
+    if (!stopped) link->close();
+  });
+  const auto descriptor = co_await link->receive_descriptor();
+  std::optional<std::string> hello;
+  if (descriptor) {
+    listening_.emplace(executor_);
+    listening_->assign(config_.listen.protocol(), *descriptor);
+    hello = co_await link->receive();
+  }
+  pause_.cancel();
+  if (!hello || ending_) co_return;
+  Reader in(*hello);
+  if (in.kind<Frame>() != Frame::hello || in.number() != kLinkVersion) {
+    std::cerr << "myrtlegrade: the old process speaks another version: waiting for its end" << std::endl;
+    co_return;
+  }
+  link->send(Writer(Frame::hello).number(kLinkVersion));
+  predecessor_ = link;
+  standing_by_ = true;
+  std::cerr << "myrtlegrade: standing by, listening on " << listening_->local_endpoint() << std::endl;
+  // Once this one is the relay, what the old process still has to tell of calls that are out.
+  for (auto frame = co_await link->receive(); frame; frame = co_await link->receive()) {
+    if (static_cast<Frame>(frame->front()) == Frame::over) {
+      co_await take_over(frame->substr(1));
+    } else {
+      heard_from_predecessor(*frame);
+    }
+  }
+  standing_by_ = false;
+  predecessor_ = nullptr;
+  link->close();
+  if (relay_) relay_->predecessor_gone();
+  drop_questions();
+}
+
+asio::awaitable<void> Succession::take_over(std::string inherited) {
+  // The other process has let go of it; a third one that looks in passing lets go at once.
+  while (!lock_.try_take()) {
+    pause_.expires_after(1ms);
+    co_await pause_.async_wait(kAwait);
+  }
+  become(std::move(inherited));
+  std::cerr << "myrtlegrade: took over" << std::endl;
+}
+
+void Succession::heard_from_predecessor(const std::string& frame) {
+  Reader in(frame);
+  const auto kind = in.kind<Frame>();
+  if (kind == Frame::prepare) {
+    predecessor_->send(Writer(Frame::prepared));
+  } else if (kind == Frame::reply || kind == Frame::returned) {
+    replied(in, kind == Frame::returned);
+  } else if (!relay_) {
+    return;
+  } else if (kind == Frame::outcome) {
+    const std::string id = in.text();
+    const auto attempt = static_cast<std::uint32_t>(in.number());
+    const CallResult result = read_result(in);
+    if (in.good) relay_->reported_elsewhere(id, attempt, result);
+  } else if (kind == Frame::hand_in) {
+    const std::uint64_t token = in.number();
+    HandIn message = read_hand_in(in);
+    if (!in.good) return;
+    relay_->hand_in(std::move(message), [link = predecessor_, token](const Answer& answer) {
+      if (link) link->send(write_answer(token, answer));
+    });
+  } else if (kind == Frame::unheard) {
+    relay_->unheard(in.text());
+  } else if (kind == Frame::usage) {
+    relay_->leave_descriptors(in.number());
+  } else if (kind == Frame::call) {
+    const std::uint64_t token = in.number();
+    called(in.text(), [link = predecessor_, token](const std::string& reply) {
+      if (link) link->send(Writer(Frame::reply).number(token).text(reply));
+    });
+  }
+}
+
+// ------------------------------------------------------------------------------------ giving over
+
+asio::awaitable<void> Succession::await_successors() {
+  while (true) {
+    auto [error, socket] = co_await successors_.async_accept(kAwait);
+    if (!successors_.is_open()) co_return;
+    if (error) {
+      usage_timer_.expires_after(kLook);
+      co_await usage_timer_.async_wait(kAwait);
+      continue;
+    }
+    // One at a time; others try again. Nor can anybody take over what can't serve yet itself.
+    if (successor_ || ending_ || !relay_->ready()) continue;
+    successor_ = std::make_shared<Link>(std::move(socket));
+    spawn(executor_, attend(successor_));
+  }
+}
+
+asio::awaitable<void> Succession::attend(Links link) {
+  if (link->send_descriptor(relay_->listening_descriptor())) {
+    link->send(Writer(Frame::hello).number(kLinkVersion));
+    for (auto frame = co_await link->receive(); frame && link == successor_;
+         frame = co_await link->receive()) {
+      heard_from_successor(*frame);
+    }
+  }
+  link->close();
+  if (successor_ != link) co_return;
+  successor_ = nullptr;
+  drop_questions();
+  // What clients handed in may be on its disk or not: no answer would be true.
+  for (const auto& [token, respond] : std::exchange(handed_in_, {})) respond({Answer::Kind::failed, {}});
+  if (std::exchange(successor_ready_, false) && ending_ && !given_over_) {
+    prepare_timer_.cancel();
+    relay_->drain(done_);
+  }
+}
+
+void Succession::heard_from_successor(const std::string& frame) {
+  Reader in(frame);
+  const auto kind = in.kind<Frame>();
+  if (kind == Frame::hello) {
+    successor_ready_ = in.number() == kLinkVersion;
+  } else if (kind == Frame::prepared) {
+    if (ending_ && !given_over_ && successor_ready_) give_over();
+  } else if (kind == Frame::answer) {
+    const auto found = handed_in_.find(in.number());
+    if (found == handed_in_.end()) return;
+    const auto respond = std::move(found->second);
+    handed_in_.erase(found);
+    respond(read_answer(in));
+  } else if (kind == Frame::reply) {
+    replied(in, false);
+  } else if (kind == Frame::call) {
+    const std::uint64_t token = in.number();
+    const std::string line = in.text();
+    if (given_over_) return successor_->send(Writer(Frame::returned).number(token));
+    called(line, [link = successor_, token](const std::string& reply) {
+      if (link) link->send(Writer(Frame::reply).number(token).text(reply));
+    });
+  }
+}
+
+void Succession::give_over() {
+  given_over_ = true;
+  prepare_timer_.cancel();
+  Relay::Successor to;
+  to.hand_in = [this](HandIn message, Server::Respond respond) {
+    if (!successor_) return respond({Answer::Kind::refused, {}});
+    successor_->send(write_hand_in(++last_token_, message));
+    handed_in_.emplace(last_token_, std::move(respond));
+  };
+  to.unheard = [this](const std::string& id) {
+    if (successor_) successor_->send(Writer(Frame::unheard).text(id));
+  };
+  to.outcome = [this](const std::string& id, std::uint32_t attempt, const CallResult& result) {
+    if (successor_) successor_->send(write_outcome(id, attempt, result));
+  };
+  to.told_all = [this] { return handed_in_.empty() && (!successor_ || successor_->sent()); };
+  const Writer over = relay_->give_over(std::move(to), done_);
+  lock_.release();
+  successor_->send(over);
+  tell_usage();
+  std::cerr << "myrtlegrade: gave over" << std::endl;
+}
+
+void Succession::tell_usage() {
+  if (!successor_) return;
+  successor_->send(Writer(Frame::usage).number(relay_->descriptors()));
+  usage_timer_.expires_after(kTellEvery);
+  usage_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) tell_usage();
+  });
+}
+
+// -------------------------------------------------------------------------- the operators' calls
+
+void Succession::called(const std::string& line, const AdminServer::Reply& reply) {
+  if (line == "HEALTH") {
+    if (ending_) return reply("NAK ending");
+    if (relay_) return reply(relay_->ready() ? "ACK" : "NAK no host is known yet");
+    return reply(standing_by_ ? "ACK" : "NAK not ready to take over");
+  }
+  if (given_over_) return ask_other(successor_, line, reply);
+  if (relay_) return reply(relay_->called(line));
+  ask_other(predecessor_, line, reply);
+}
+
+void Succession::ask_other(const Links& link, const std::string& line, const AdminServer::Reply& reply) {
+  if (!link) return reply("NAK not serving");
+  link->send(Writer(Frame::call).number(++last_token_).text(line));
+  questions_.emplace(last_token_, Question{line, reply});
+}
+
+void Succession::replied(Reader& in, bool returned) {
+  const auto found = questions_.find(in.number());
+  if (found == questions_.end()) return;
+  const Question question = std::move(found->second);
+  questions_.erase(found);
+  if (!returned) return question.reply(in.text());
+  called(question.line, question.reply);
+}
+
+void Succession::drop_questions() {
+  for (const auto& [token, question] : std::exchange(questions_, {})) question.reply("NAK not serving");
+}
+
+}  // namespace myrtlegrade
--- /dev/null
+++ b/relay/succession.h
@@ -0,0 +1,90 @@
+// Which of two processes is the relay. One that is started while another serves stands by for it: it holds
+// the clients' listening socket too, and takes over once the other gives over or dies.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/local/stream_protocol.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "admin_server.h"
+#include "config.h"
+#include "frames.h"
+#include "link.h"
+#include "relay.h"
+#include "state_lock.h"
+
+namespace myrtlegrade {
+
+class Succession {
+ public:
+  // `done` is called when the process may go.
+  Succession(boost::asio::any_io_executor executor, Config config, std::function<void()> done);
+
+  void start();
+
+  // The process is to end: what it has goes to the one that stands by, or is brought to an end.
+  void end();
+
+  // The platform's service is elsewhere from now on.
+  void move_discovery(const Endpoint& address);
+
+ private:
+  using Links = std::shared_ptr<Link>;
+
+  boost::asio::awaitable<void> seek();
+  bool take_office();
+  void become(std::optional<std::string> inherited);
+
+  // As the one that stands by, and after that: what the earlier process still says.
+  boost::asio::awaitable<void> stand_by();
+  boost::asio::awaitable<void> take_over(std::string inherited);
+  void heard_from_predecessor(const std::string& frame);
+
+  // As the relay: who stands by, and after giving over: what the new process says.
+  boost::asio::awaitable<void> await_successors();
+  boost::asio::awaitable<void> attend(Links link);
+  void heard_from_successor(const std::string& frame);
+  void give_over();
+  void leave_alone();
+  void tell_usage();
+
+  void called(const std::string& line, const AdminServer::Reply& reply);
+  void ask_other(const Links& link, const std::string& line, const AdminServer::Reply& reply);
+  void replied(Reader& in, bool returned);
+  void drop_questions();
+
+  boost::asio::any_io_executor executor_;
+  Config config_;
+  std::function<void()> done_;
+  std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
+  StateLock lock_;
+  std::optional<AdminServer> admin_;
+  std::optional<boost::asio::ip::tcp::acceptor> listening_;  // until the relay has it
+  std::optional<Relay> relay_;
+  boost::asio::steady_timer pause_;
+
+  Links predecessor_, successor_;
+  bool standing_by_ = false;      // could take over at once
+  bool successor_ready_ = false;  // has said which version it speaks
+  bool ending_ = false, given_over_ = false;
+  boost::asio::local::stream_protocol::acceptor successors_;
+  boost::asio::steady_timer prepare_timer_, usage_timer_;
+
+  struct Question {
+    std::string line;
+    AdminServer::Reply reply;
+  };
+  std::uint64_t last_token_ = 0;
+  std::map<std::uint64_t, Question> questions_;         // calls that the other process answers
+  std::map<std::uint64_t, Server::Respond> handed_in_;  // clients' messages that the successor answers
+};
+
+}  // namespace myrtlegrade
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -17,6 +17,8 @@
 #include "cap.h"
 #include "fleet.h"
 #include "idle_age.h"
+#include "learned.h"
+#include "ramp.h"
 #include "recent.h"
 #include "records.h"
 #include "settings.h"
@@ -36,7 +38,6 @@
 constexpr double kOutHint = 0.4;        // hint where all hosts are out by hand, share of the time left (ours)
 constexpr Duration kHintLeast = 300ms;  // least wait hint (ours; the post's 15 s would outlast the work)
 constexpr Duration kUsualMemory = 20s;  // memory of the usual rate of a destination (ours)
-constexpr Duration kRateLeast = 2s;     // least time over which a rate is taken (ours)
 constexpr Duration kTenantMemory = 10s;  // memory of the tenants' shares (ours)
 constexpr double kTenantSlack = 1.15;    // a tenant counts as over its share above this multiple (ours)
 
@@ -67,22 +68,12 @@
 constexpr double kToldShare = 0.5;         // of such a pause, after a told wait (ours)
 constexpr double kBackoffJitter = 0.5;     // spread of these pauses, both ways (ours)
 constexpr int kBackoffDoublings = 3;       // how often it doubles (ours)
-constexpr double kPaceCut = 0.8;           // factor on the pace at a refusal (ours)
-constexpr double kPaceGrowth = 0.1;        // growth of a pace in a second (ours)
-constexpr double kPaceQuiet = 1.0;      // seconds without a refusal: from then on it grows ever faster (ours)
-constexpr double kPaceLeast = 1.0;      // calls a second; a pace never goes under this (ours)
-constexpr double kPaceRoom = 1.3;       // a pace never goes under this multiple of the usual rate (ours)
-constexpr double kPaceFree = 3.0;       // multiple of that least pace above which a pace is dropped (ours)
 constexpr int kShutRefusals = 3;        // refusals in a row, over kShutSpan, that count as an outage (ours)
 constexpr Duration kShutSpan = 2500ms;  // see above; longer than a limit's usual span (ours)
 constexpr double kJitter = 0.25;        // spread of pauses, both ways (ours)
-constexpr double kRampShare = 1.2;      // share of overload_factor spent on a cold host (ours)
 constexpr double kArrivalShare = 0.7;   // of what arrives, where few calls have been accepted yet (ours)
-constexpr double kOwnLeast = 3.0;   // calls a second of all relays; an own rate is at least its part (ours)
-constexpr double kRampLeast = 1.0;  // calls a second a cold destination may get at least (ours)
-constexpr double kRampLeastAll = 100.0;    // and from all relays together (ours)
-constexpr double kBurstSpan = 0.3;         // seconds of a cold host's budget that may be saved up (ours)
-constexpr double kAgainShare = 0.4;        // of such a pause, rest of a message after a failed attempt (ours)
+constexpr double kOwnLeast = 3.0;    // calls a second of all relays; an own rate is at least its part (ours)
+constexpr double kAgainShare = 0.4;  // of such a pause, rest of a message after a failed attempt (ours)
 constexpr Duration kWindowMargin = 100ms;  // a key's window is held to end so much earlier (ours)
 
 // Expiry, timers, list
@@ -91,6 +82,9 @@
 constexpr Duration kAskAgain = 700ms;     // before asking again for the list, first try (ours)
 constexpr double kAskShare = 0.2;         // longest, share of the time in which it must be asked (ours)
 
+// Calls
+constexpr std::uint64_t kEarlierCall = 1ULL << 63;  // marks those that an earlier process numbered
+
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration span(double seconds) { return Duration(std::llround(seconds * 1e6)); }
 Duration scaled(Duration d, double by) { return span(seconds(d) * by); }
@@ -116,6 +110,8 @@
     return std::exchange(actions_, {});
   }
 
+  Learned learned(Time now) { return vetchhinge::learned(fleet_, now); }
+
  private:
   void start(Time now) {
     control_at_ = now + kControlTick;
@@ -229,12 +225,42 @@
     Entry& entry = entries_.at(m.id);
     if (in_turn(entry)) keys_[*m.key].waiting.push_back(m.id);
     destinations_[entry.destination].arrivals.add(now_, 1);
-    for (const PastAttempt& p : m.past)
-      entry.attempts.push_back({0, 0, p.zone, p.sent, p.may_have_run ? Fate::may_have_run : Fate::never_ran});
+    for (const PastAttempt& p : m.past) take_up_attempt(entry, p);
+    if (entry.out > 0) return;
     hold_or_end(entry);
     if (entry.held) make_room(entry);
   }
 
+  // A call that an earlier process still has out holds its slot, its part of the cap and its message here.
+  void take_up_attempt(Entry& e, const PastAttempt& p) {
+    if (!p.out) {
+      e.attempts.push_back({0, 0, p.zone, p.sent, p.may_have_run ? Fate::may_have_run : Fate::never_ran});
+      return;
+    }
+    const auto known = fleet_.find(p.host);
+    const HostEntry entry{p.host, e.message.destination, p.zone, destinations_[e.destination].kind};
+    const std::size_t h = known ? *known : add_host(entry);
+    const std::uint64_t id = kEarlierCall | p.call;
+    const auto [call, added] = calls_.try_emplace(id, Call{h, p.sent});
+    if (added) count_call(h, id);
+    ++call->second.messages;
+    ++e.out;
+    e.attempts.push_back({h, id, p.zone, p.sent});
+    activate(hosts_[h].lane);
+  }
+
+  void count_call(std::size_t at, std::uint64_t id) {
+    Lane& l = lanes_[hosts_[at].lane];
+    hosts_[at].calls.push_back(id);
+    ++hosts_[at].in_flight;
+    l.peak = std::max(l.peak, ++l.in_flight);
+    ++in_flight_;
+  }
+
+  void on(const Learned& learned) {
+    for (const std::size_t lane : take_up(fleet_, learned, now_)) activate(lane);
+  }
+
   // A tenant whose part of the traffic here is well over its fraction is worth less at the margin.
   double share_worth(const Message& m) {
     if (!m.tenant || *m.tenant >= tenant_rates_.size()) return 1;
@@ -454,7 +480,7 @@
     const Destination& d = destinations_[e.destination];
     for (const std::size_t l : d.lanes) {
       if (!lane_ready(lanes_[l])) continue;
-      refill_pace(lanes_[l]);
+      refill_pace(lanes_[l], now_);
       for (const std::size_t h : lanes_[l].hosts) {
         if (!hosts_[h].usable() || !in_scope(e, hosts_[h])) continue;
         if (joinable(hosts_[h], d)) return h;  // joining a call of this step costs neither slot nor limit
@@ -492,7 +518,7 @@
     if (h.failures >= kOpenAfter) return h.in_flight == 0 && now_ >= h.retry_at;  // circuit half-open
     if (stalled(h)) return false;
     if (!h.cold) return true;
-    refill_budget(h);
+    refill_budget(h, lanes_[h.lane], s_, now_);
     return h.budget >= 1;
   }
 
@@ -538,12 +564,8 @@
       h.step = step_;
       h.step_call = ++last_call_;
       calls_.emplace(last_call_, Call{at, now_, idle(h) > 0 ? now_ - h.last_end : 0us});
-      h.calls.push_back(last_call_);
       h.idle_connections = std::max(0, idle(h) - 1);
-      ++h.in_flight;
-      ++l.in_flight;
-      ++in_flight_;
-      l.peak = std::max(l.peak, l.in_flight);
+      count_call(at, last_call_);
       l.pace_budget -= 1;
       l.recent_calls.add(now_, 1);
       h.budget -= h.cold ? 1 : 0;
@@ -570,35 +592,6 @@
     return std::max(Duration(1ms), std::min(left, span(t)));
   }
 
-  void refill_pace(Lane& l) {
-    const double passed = seconds(now_ - std::exchange(l.pace_at, now_));
-    // The longer nothing was refused, the faster: limits that were low for a while are high again at once.
-    l.pace *= 1 + kPaceGrowth * passed * std::max(1.0, seconds(now_ - l.pace_cut_at) / kPaceQuiet);
-    l.pace_budget = std::min(l.pace_budget + l.pace * passed, std::max(1.0, l.pace * kBurstSpan));
-    if (l.pace > kPaceFree * pace_floor(l)) l.pace = 0;
-  }
-
-  // A returning host gets what the settings say it can surely take, in terms of what it took before: its
-  // usual rate is under its capacity, so that rate's share at start, grown to the whole over the warm-up,
-  // stays under what it can do at that moment, however many relays do the same.
-  void refill_budget(Host& h) {
-    const double passed = seconds(now_ - h.budget_at);
-    h.budget_at = now_;
-    if (h.warm_since && now_ > *h.warm_since + s_.warm_after) {
-      h.cold = false;
-      return;
-    }
-    Lane& l = lanes_[h.lane];
-    const double warmed =
-        h.warm_since && s_.warm_after > 0us ? seconds(now_ - *h.warm_since) / seconds(s_.warm_after) : 0;
-    const double share = s_.start_capacity + (1 - s_.start_capacity) * warmed;
-    const double usual = l.usual_before / static_cast<double>(l.hosts.size());
-    const double least =
-        std::min(kRampLeast, kRampLeastAll / s_.relays) / static_cast<double>(l.hosts.size());
-    const double rate = std::max(least, kRampShare * s_.overload_factor * share * usual);
-    h.budget = std::min(h.budget + rate * passed, std::max(1.0, rate * kBurstSpan));
-  }
-
   // -------------------------------------------------------------------------- outcomes
   void on(const Outcome& o) {
     const auto found = entries_.find(o.id);
@@ -766,12 +759,7 @@
     const Duration pause = backoff(l) * (1 << std::min(l.refusals - 1, kBackoffDoublings));
     const double part = told <= 0us ? 1.0 : s_.relays > kFewRelays ? kToldShare : 0.0;
     l.pause_until = std::max(l.pause_until, now_ + told + scaled(pause, part * jitter(kBackoffJitter)));
-    if (!hosts_[call.host].cold && (l.pace == 0 || call.sent > l.pace_cut_at)) {
-      const double recent = l.recent_calls.per_second(now_, kRateLeast);
-      l.pace = std::max(pace_floor(l), kPaceCut * (l.pace > 0 ? std::min(l.pace, recent) : recent));
-      l.pace_cut_at = l.pace_at = now_;
-    }
-    l.pace_budget = 0;
+    cut_pace(l, call, hosts_[call.host].cold, now_);
     const bool shut = l.refusals >= kShutRefusals && now_ - l.refused_since > kShutSpan;
     if (shut || told > s_.overload_for) {
       for (const std::size_t h : l.hosts) outage_seen(hosts_[h]);
@@ -790,10 +778,6 @@
     return std::clamp(span(kBackoffShare / own_rate(l)), kBackoffLeast, s_.classes.front().aim);
   }
 
-  double pace_floor(Lane& l) {
-    return std::max(kPaceLeast, kPaceRoom * l.usual_calls.per_second(now_, kRateLeast));
-  }
-
   // After an attempt that did not deliver: a rest, but where it was refused.
   void retry_or_end(Entry& e, Result result) {
     if (result != Result::full && may_try(e)) {
@@ -930,4 +914,6 @@
 
 std::vector<Action> Sender::step(Time now, std::span<const Event> events) { return impl_->step(now, events); }
 
+Learned Sender::learned(Time now) { return impl_->learned(now); }
+
 }  // namespace vetchhinge
--- /dev/null
+++ b/src/ramp.cpp
@@ -0,0 +1,62 @@
+#include "ramp.h"
+
+#include <algorithm>
+
+namespace vetchhinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr double kPaceCut = 0.8;     // factor on the pace at a refusal (ours)
+constexpr double kPaceGrowth = 0.1;  // growth of a pace in a second (ours)
+constexpr double kPaceQuiet = 1.0;   // seconds without a refusal: from then on it grows ever faster (ours)
+constexpr double kPaceLeast = 1.0;   // calls a second; a pace never goes under this (ours)
+constexpr double kPaceRoom = 1.3;    // a pace never goes under this multiple of the usual rate (ours)
+constexpr double kPaceFree = 3.0;    // multiple of that least pace above which a pace is dropped (ours)
+constexpr double kRampShare = 1.2;   // share of overload_factor spent on a cold host (ours)
+constexpr double kRampLeast = 1.0;   // calls a second a cold destination may get at least (ours)
+constexpr double kRampLeastAll = 100.0;  // and from all relays together (ours)
+constexpr double kBurstSpan = 0.3;       // seconds of a cold host's budget that may be saved up (ours)
+
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+}  // namespace
+
+double pace_floor(Lane& l, Time now) {
+  return std::max(kPaceLeast, kPaceRoom * l.usual_calls.per_second(now, kRateLeast));
+}
+
+void cut_pace(Lane& l, const Call& call, bool cold, Time now) {
+  if (!cold && (l.pace == 0 || call.sent > l.pace_cut_at)) {
+    const double recent = l.recent_calls.per_second(now, kRateLeast);
+    l.pace = std::max(pace_floor(l, now), kPaceCut * (l.pace > 0 ? std::min(l.pace, recent) : recent));
+    l.pace_cut_at = l.pace_at = now;
+  }
+  l.pace_budget = 0;
+}
+
+void refill_pace(Lane& l, Time now) {
+  const double passed = seconds(now - std::exchange(l.pace_at, now));
+  // The longer nothing was refused, the faster: limits that were low for a while are high again at once.
+  l.pace *= 1 + kPaceGrowth * passed * std::max(1.0, seconds(now - l.pace_cut_at) / kPaceQuiet);
+  l.pace_budget = std::min(l.pace_budget + l.pace * passed, std::max(1.0, l.pace * kBurstSpan));
+  if (l.pace > kPaceFree * pace_floor(l, now)) l.pace = 0;
+}
+
+void refill_budget(Host& h, Lane& l, const Settings& s, Time now) {
+  const double passed = seconds(now - h.budget_at);
+  h.budget_at = now;
+  if (h.warm_since && now > *h.warm_since + s.warm_after) {
+    h.cold = false;
+    return;
+  }
+  const double warmed =
+      h.warm_since && s.warm_after > 0us ? seconds(now - *h.warm_since) / seconds(s.warm_after) : 0;
+  const double share = s.start_capacity + (1 - s.start_capacity) * warmed;
+  const double usual = l.usual_before / static_cast<double>(l.hosts.size());
+  const double least = std::min(kRampLeast, kRampLeastAll / s.relays) / static_cast<double>(l.hosts.size());
+  const double rate = std::max(least, kRampShare * s.overload_factor * share * usual);
+  h.budget = std::min(h.budget + rate * passed, std::max(1.0, rate * kBurstSpan));
+}
+
+}  // namespace vetchhinge
--- a/src/recent.h
+++ b/src/recent.h
@@ -31,6 +31,12 @@
 
   std::size_t size() const { return samples_.size(); }
 
+  struct Sample {
+    Time at;
+    double value;
+  };
+  const std::vector<Sample>& samples() const { return samples_; }
+
   // Of all samples; sorted once for all questions until another sample comes.
   double quantile(double q) const {
     if (sorted_.size() != samples_.size()) sorted_ = newest_sorted(samples_.size());
@@ -41,11 +47,6 @@
   double quantile(double q, std::size_t newest) const { return between(newest_sorted(newest), q); }
 
  private:
-  struct Sample {
-    Time at;
-    double value;
-  };
-
   std::vector<double> newest_sorted(std::size_t newest) const {
     std::vector<double> values;
     values.reserve(newest);
@@ -79,6 +80,14 @@
     sum_ += amount;
   }
 
+  // As if events had come at this rate for as long as is remembered.
+  void start_at(Time now, double per_second) {
+    constexpr int kLongAgo = 20;  // memories: e^-20 of the rate is missing
+    start_ = now - kLongAgo * memory_;
+    last_ = now;
+    sum_ = per_second * seconds(memory_);
+  }
+
   // `least` guards the first moments, when little time has been watched.
   double per_second(Time now, Duration least) {
     decay(now);
--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -144,6 +144,13 @@
   wait();
 }
 
+std::string Process::second_address() const {
+  for (const std::string& line : head_) {
+    if (line.find("second address on") != std::string::npos) return last_word(line);
+  }
+  return "";
+}
+
 std::string Process::log() const {
   const std::lock_guard lock(log_mutex_);
   return log_;
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -92,7 +92,7 @@
   // The last line of its start; of a program that ended at once, the last one that it wrote.
   std::string first_line() const { return head_.back(); }
   std::string address() const { return last_word(first_line()); }
-  std::string second_address() const { return head_.size() > 1 ? last_word(head_[head_.size() - 2]) : ""; }
+  std::string second_address() const;
   std::string log() const;  // what came behind the first line; whole once wait() has returned
 
  private:
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -945,5 +945,47 @@
   EXPECT_EQ(relay.refused.size(), held + 1);
 }
 
+// What one process has learned holds in the one that takes its place.
+TEST(Sender, TakesUpWaitsAndColdHosts) {
+  Sender old(settings()), fresh(settings());
+  const HostList list{HostList::Kind::whole, {{HostId(0), DestinationId(1), ZoneId(0), 0}}};
+  const Message first{MessageId(1), kSafe, DestinationId(1), Time(20s), {}, {}, {}};
+  old.step(Time(0s), std::vector<Event>{list, first});
+  Outcome told{MessageId(1), 0, Result::full, false, 5s, 100ms, std::nullopt};
+  old.step(Time(1s), std::vector<Event>{told});
+  const Learned learned = old.learned(Time(1s));
+  const auto sends = [](const std::vector<Action>& actions) {
+    return std::ranges::count_if(actions, [](const Action& a) { return std::holds_alternative<Send>(a); });
+  };
+  EXPECT_EQ(sends(fresh.step(Time(1s), std::vector<Event>{list, learned, first})), 0);
+  EXPECT_EQ(sends(fresh.step(Time(5900ms), {})), 0);
+  int later = 0;
+  for (Time now(6s); now < Time(12s); now += 20ms) later += static_cast<int>(sends(fresh.step(now, {})));
+  EXPECT_EQ(later, 1);
+}
+
+TEST(Sender, ACallThatAnEarlierProcessHasOutHoldsItsMessageAndItsSlot) {
+  Settings s = settings();
+  s.slots = 1;
+  Relay relay(s);
+  Message out = relay.message(1);
+  out.past = {{ZoneId(0), relay.now, true, true, HostId(0), 7}};
+  relay.step({out});
+  relay.take(2);
+  relay.run_for(100ms);
+  EXPECT_TRUE(relay.sends.empty());
+  relay.step({Outcome{MessageId(1), 0, Result::reset, false, 0us, 100ms, std::nullopt}});
+  relay.run_for(2s);
+  EXPECT_EQ(relay.sends.size(), 1U);
+  for (int i = 0; i < 2; ++i) {
+    for (const std::uint32_t id : std::set(relay.pending)) {
+      if (id == 2) relay.end(2, Result::delivered);
+    }
+    relay.run_for(2s);
+  }
+  EXPECT_EQ(relay.sent(1), 1) << "safe to repeat, once its call is over";
+  EXPECT_EQ(relay.sent(2), 1);
+}
+
 }  // namespace
 }  // namespace vetchhinge
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -219,7 +219,9 @@
   EXPECT_EQ(status, 503U);
   EXPECT_GT(taken, 1);
   std::uintmax_t bytes = 0;
-  for (const auto& entry : fs::directory_iterator(folder_ / "state")) bytes += entry.file_size();
+  for (const auto& entry : fs::directory_iterator(folder_ / "state")) {
+    if (entry.is_regular_file()) bytes += entry.file_size();
+  }
   EXPECT_LE(bytes, 50'000U);
   watched_.change([&] { released_ = true; });
   behave("h", kAccept);
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,174 @@
+// Two processes, one relay: the real program is started beside itself and takes over.
+#include "relay_fixture.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+class UpgradeTest : public RelayTest {
+ protected:
+  void start_old() {
+    add_host("h", 2, "plain", kAccept);
+    add_host("h2", 3, "plain", kAccept);
+    start(with_second_address());
+  }
+  // The new process is told the addresses of the old one, but for its own second address.
+  json::object beside() const {
+    json::object changed = with_second_address();
+    changed["listen"] = address_;
+    return changed;
+  }
+  void start_beside(std::optional<Process>& process) {
+    const fs::path file = folder_ / "beside.json";
+    std::ofstream(file) << json::serialize(beside());
+    process.emplace(PROGRAM, std::map<std::string, std::string>{{"PROXY_CONFIG", file},
+                                                                {"PROXY_STATE", folder_ / "state"}});
+  }
+  static int end(std::optional<Process>& process, int signal) {
+    process->signal(signal);
+    const int status = process->wait();
+    process.reset();
+    return status;
+  }
+  static bool healthy(const std::optional<Process>& process) {
+    return call(process->second_address(), "HEALTH") == "ACK";
+  }
+  bool wait_healthy(const std::optional<Process>& process) {
+    for (int i = 0; i < 5000; ++i) {
+      if (healthy(process)) return true;
+    }
+    return false;
+  }
+  // Leaves so many calls of the host without an answer, the rest wait.
+  void fill(const std::string& prefix, const std::string& cls, int count) {
+    for (int i = 0; i < count; ++i) ASSERT_EQ(hand_in(prefix + std::to_string(i), cls, 2), 202U);
+  }
+  std::optional<Process> new_;
+};
+
+TEST_F(UpgradeTest, EachMessageIsDeliveredOnceAcrossAnUpgrade) {
+  start_old();
+  behave("h", silent());
+  fill("a", "refund", 12);  // some are out, some are held
+  boost::asio::io_context context;
+  tcp::socket kept = connect(context, address_);
+  boost::beast::flat_buffer buffer;
+  const auto exchange = [&](const Request& request) {
+    http::write(kept, request);
+    Response response;
+    http::read(kept, buffer, response);
+    return response;
+  };
+  EXPECT_EQ(exchange(message("k0", "note", 3)).result_int(), 202U);
+  start_beside(new_);
+  EXPECT_TRUE(healthy(new_));
+  EXPECT_TRUE(healthy(process_));
+  process_->signal(SIGTERM);
+  // A client of the old process is served while that ends, by the new one's decision.
+  const Response last = exchange(message("k1", "refund", 3));
+  EXPECT_EQ(last.result_int(), 202U);
+  EXPECT_EQ(hand_in("n0", "refund", 3), 202U);
+  EXPECT_EQ(hand_in("a0", "refund", 2), 202U) << "in hand already";
+  EXPECT_TRUE(wait_seen("k1"));
+  EXPECT_TRUE(wait_seen("n0"));
+  behave("h", kAccept);
+  watched_.change([&] { released_ = true; });
+  EXPECT_EQ(process_->wait(), 0);
+  for (int i = 0; i < 12; ++i) ASSERT_TRUE(wait_seen("a" + std::to_string(i))) << i;
+  pass_marker("m", 2);
+  for (int i = 0; i < 12; ++i) EXPECT_EQ(count_seen("a" + std::to_string(i)), 1U) << i;
+  EXPECT_EQ(count_seen("k1"), 1U);
+  EXPECT_TRUE(watched_.read([&] { return notices_.empty(); }));
+  EXPECT_TRUE(healthy(new_));
+}
+
+TEST_F(UpgradeTest, TheNewProcessGoesOnWhereTheOldOneIsKilled) {
+  start_old();
+  behave("h", silent());
+  fill("a", "refund", 12);
+  const std::size_t out = watched_.read([&] { return deliveries_.size(); });
+  start_beside(new_);
+  EXPECT_TRUE(healthy(new_));
+  end(process_, SIGKILL);
+  behave("h", kAccept);
+  watched_.change([&] { released_ = true; });
+  // What was out may have run, and may not be repeated; what was held is delivered.
+  ASSERT_TRUE(watched_.wait([&] { return deliveries_.size() + notices_.size() >= 12 + out; }));
+  EXPECT_EQ(hand_in("m", "note", 2), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  for (int i = 0; i < 12; ++i) EXPECT_LE(count_seen("a" + std::to_string(i)), 1U) << i;
+}
+
+TEST_F(UpgradeTest, TheOldProcessGoesOnWhereTheNewOneIsKilledAndAnotherMayStandBy) {
+  start_old();
+  start_beside(new_);
+  EXPECT_TRUE(healthy(new_));
+  end(new_, SIGKILL);
+  pass_marker("a", 2);
+  start_beside(new_);
+  EXPECT_TRUE(wait_healthy(new_));
+  EXPECT_EQ(end(process_, SIGTERM), 0);
+  pass_marker("b", 2);
+  std::optional<Process> third;
+  start_beside(third);
+  EXPECT_TRUE(wait_healthy(third));
+  EXPECT_EQ(end(new_, SIGTERM), 0);
+  pass_marker("c", 2);
+}
+
+// The one that stands by is stopped: nothing is given to it, and the old process ends as it would alone.
+TEST_F(UpgradeTest, AStalledNewProcessGetsNothing) {
+  start_old();
+  start_beside(new_);
+  EXPECT_TRUE(healthy(new_));
+  behave("h", silent());
+  fill("a", "refund", 12);
+  new_->signal(SIGSTOP);
+  EXPECT_EQ(end(process_, SIGTERM), 0);
+  behave("h", kAccept);
+  watched_.change([&] { released_ = true; });
+  new_->signal(SIGCONT);
+  pass_marker("m", 3);
+  for (int i = 0; i < 12; ++i) EXPECT_LE(count_seen("a" + std::to_string(i)), 1U) << i;
+  ASSERT_TRUE(wait_seen("a11"));  // it was held, and is in the journal that the new process has read
+}
+
+TEST_F(UpgradeTest, BansAndToldWaitsHoldAcrossIt) {
+  add_host("other", 2, "plain", kAccept);
+  start_old();
+  EXPECT_EQ(call(second_, "OFFLINE h"), "ACK");
+  behave("h2", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "60000"}});
+  });
+  EXPECT_EQ(hand_in("w0", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("w0"));
+  start_beside(new_);
+  EXPECT_EQ(call(new_->second_address(), "OFFLINE nobody").substr(0, 3), "NAK");
+  EXPECT_EQ(call(new_->second_address(), "ONLINE h"), "ACK");  // the old process does it
+  EXPECT_EQ(call(new_->second_address(), "OFFLINE h"), "ACK");
+  EXPECT_EQ(end(process_, SIGTERM), 0);
+  behave("h2", kAccept);
+  for (int i = 0; i < 4; ++i) {
+    hand_in("w1" + std::to_string(i), "note", 3);
+    pass_marker("m" + std::to_string(i), 2);
+  }
+  const auto at = [&](const std::string& host) {
+    return watched_.read([&] { return std::ranges::count(deliveries_, host, &Delivery::host); });
+  };
+  EXPECT_EQ(at("h2"), 1) << "told to wait for a minute";
+  EXPECT_EQ(at("h"), 0);
+}
+
+TEST_F(UpgradeTest, LeavingHoldsAcrossIt) {
+  start_old();
+  EXPECT_EQ(call(second_, "LEAVE"), "ACK");
+  start_beside(new_);
+  EXPECT_TRUE(healthy(new_));
+  EXPECT_EQ(end(process_, SIGTERM), 0);
+  const auto health = [&] { return ask(address_, Request{http::verb::get, "/_health", 11}).result_int(); };
+  EXPECT_EQ(health(), 503U);
+  EXPECT_EQ(call(new_->second_address(), "JOIN"), "ACK");
+  EXPECT_EQ(health(), 200U);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
