--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -30,11 +30,13 @@
 constexpr std::size_t kMostName = 128;  // bytes of an id or key: both go to disk
 constexpr std::size_t kMostBuffered = 32 << 10;
 constexpr std::size_t kFirstRead = 1 << 10;
-constexpr auto kIdleFor = 10s;       // between requests
-constexpr auto kRequestWithin = 2s;  // for a request to come whole; the first one from the connection's start
-constexpr auto kLeaveIdle = 2s;      // the least time that a client may count on between two requests
-constexpr auto kLeaveLook = 50ms;    // between looks at what has become idle
-constexpr auto kSpared = 250ms;      // a connection that is new, or whose request is on its way, is not shed
+constexpr auto kIdleFor = 10s;  // between requests
+constexpr std::size_t kReadSize = 8 << 10;
+constexpr auto kRequestWithin =
+    2700ms;                        // for a request to come whole; the first one from the connection's start
+constexpr auto kLeaveIdle = 2s;    // the least time that a client may count on between two requests
+constexpr auto kLeaveLook = 50ms;  // between looks at what has become idle
+constexpr auto kSpared = 250ms;    // a connection that is new, or whose request is on its way, is not shed
 constexpr auto kWriteWithin = 2s;
 constexpr auto kLinger = 500ms;                  // for the client to take its last answer
 constexpr std::size_t kMostLingering = 1 << 20;  // bytes read meanwhile
@@ -328,6 +330,29 @@
   sessions_.erase(session);
 }
 
+// Up to a request's end, or the end of a head that tells no clear frame. Each piece that comes counts: who
+// still writes is not taken for one of those that stopped half way.
+asio::awaitable<beast::error_code> Server::read_request(Session& session, Parser& parser) {
+  beast::error_code error;
+  while (true) {
+    while (session.buffer.size() > 0 && !parser.is_done()) {
+      const std::size_t used = parser.put(session.buffer.data(), error);
+      session.buffer.consume(used);
+      if (error == http::error::need_more) error = {};
+      if (error) co_return error;
+      if (parser.is_header_done() && !clearly_framed(parser.get())) co_return error;
+      if (used == 0) break;
+    }
+    if (parser.is_done()) co_return error;
+    const std::size_t most = std::min(kReadSize, kMostBuffered - session.buffer.size());
+    const auto [read_error, count] =
+        co_await session.stream.async_read_some(session.buffer.prepare(most), kAwait);
+    if (read_error) co_return read_error;
+    session.buffer.commit(count);
+    session.enter(Session::State::reading);
+  }
+}
+
 asio::awaitable<void> Server::answer_requests(Session& session) {
   // Clients that say nothing, or never end what they say, must not hold descriptors.
   session.stream.expires_after(kRequestWithin);
@@ -341,20 +366,16 @@
       if (session.state == Session::State::idle) session.stream.expires_after(kRequestWithin);
     }
     session.enter(Session::State::reading);
-    http::request_parser<http::string_body> parser;
+    Parser parser;
+    parser.eager(true);
     parser.body_limit(kMostBody);
     parser.header_limit(kMostHead);
     std::optional<Response> response;
     std::string taken;
-    auto [error, head] = co_await http::async_read_header(session.stream, session.buffer, parser, kAwait);
+    const beast::error_code error = co_await read_request(session, parser);
     if (!error && !clearly_framed(parser.get())) {
       response = plain(http::status::bad_request, "Transfer-Encoding: not supported");
-    } else if (!error) {
-      const auto [body_error, body] =
-          co_await http::async_read(session.stream, session.buffer, parser, kAwait);
-      error = body_error;
-    }
-    if (error) {
+    } else if (error) {
       response = response_to(error);
       if (!response) co_return;
     }
--- a/relay/server.h
+++ b/relay/server.h
@@ -5,7 +5,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/error.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
 #include <functional>
@@ -68,10 +70,12 @@
 
  private:
   struct Session;
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(std::shared_ptr<Session> session);
   boost::asio::awaitable<void> answer_requests(Session& session);
+  boost::asio::awaitable<boost::beast::error_code> read_request(Session& session, Parser& parser);
   boost::asio::awaitable<void> close_gently(Session& session);
   boost::asio::awaitable<Answer> ask(HandIn message);
   std::optional<Response> at_once(Request& request, HandIn& message) const;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -533,6 +533,67 @@
 }
 
 // One client must not swallow or withdraw another's message by using its id.
+// Those that stopped half way make room before one that goes on writing, though it began before them.
+TEST_F(RelayTest, AClientThatStillWritesIsKeptBeforeThoseThatStopped) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  boost::asio::io_context context;
+  std::ostringstream text;
+  text << message("slow", "note", 2);
+  const std::string request = text.str();
+  tcp::socket slow = connect(context, address_);
+  boost::asio::write(slow, boost::asio::buffer(request.data(), 8));
+  std::vector<tcp::socket> crowd;
+  const auto stop_half_way = [&](int count) {
+    for (int i = 0; i < count; ++i) {
+      crowd.push_back(connect(context, address_));
+      boost::asio::write(crowd.back(), boost::asio::buffer("POST /no", 8));
+    }
+  };
+  // What came before a message that was taken has been read.
+  stop_half_way(48);  // there is room for 54
+  EXPECT_EQ(hand_in("first", "note", 2), 202U);
+  boost::asio::write(slow, boost::asio::buffer(request.data() + 8, 8));
+  EXPECT_EQ(hand_in("second", "note", 2), 202U);
+  stop_half_way(20);
+  EXPECT_EQ(hand_in("third", "note", 2), 202U);  // some have had to go
+  boost::asio::write(slow, boost::asio::buffer(request.data() + 16, request.size() - 16));
+  boost::beast::flat_buffer buffer;
+  Response response;
+  http::read(slow, buffer, response);
+  EXPECT_EQ(response.result_int(), 202U);
+}
+
+TEST_F(RelayTest, RequestsMayComeCutAtAnyByte) {
+  add_host("h", 2, "plain", kAccept);
+  start();
+  boost::asio::io_context context;
+  const auto request = [&](const std::string& id) {
+    std::ostringstream text;
+    text << message(id, "note", 2, "a body");
+    return text.str();
+  };
+  const std::size_t size = request("cut-100").size();
+  tcp::socket socket = connect(context, address_);
+  socket.set_option(tcp::no_delay(true));
+  boost::beast::flat_buffer buffer;
+  const auto status = [&] {
+    Response response;
+    http::read(socket, buffer, response);
+    return response.result_int();
+  };
+  for (std::size_t cut = 1; cut < size; ++cut) {
+    const std::string whole = request("cut-" + std::to_string(100 + cut));
+    boost::asio::write(socket, boost::asio::buffer(whole.data(), cut));
+    boost::asio::write(socket, boost::asio::buffer(whole.data() + cut, whole.size() - cut));
+    ASSERT_EQ(status(), 202U) << cut;
+    ASSERT_TRUE(wait_seen("cut-" + std::to_string(100 + cut)));
+  }
+  boost::asio::write(socket, boost::asio::buffer(request("two-1") + request("two-2")));  // at once
+  EXPECT_EQ(status(), 202U);
+  EXPECT_EQ(status(), 202U);
+}
+
 TEST_F(RelayTest, AnIdInUseIsRefusedForAnotherMessage) {
   add_host("h", 2, "plain", silent());
   start();
