Try a host again once its pause is over, though another one works

Evidence, by 2 s and host: from the second failure at the near host on, not one call went there for the remaining 22 s; the same at partners 5 and 6. At fault: better() ranked by failures in a row and by cold, which only a call there can end, and gave it none while another was free. Afterwards near hosts are used within a pause again.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -479,6 +479,7 @@
   std::optional<std::size_t> choose_host(const Entry& e) {
     std::optional<std::size_t> best;
     const Destination& d = destinations_[e.destination];
+    const bool safe = s_.classes[e.message.cls].effect == Effect::idempotent;
     for (const std::size_t l : d.lanes) {
       if (!lane_ready(lanes_[l])) continue;
       refill_pace(lanes_[l], now_);
@@ -486,7 +487,7 @@
         if (!hosts_[h].usable() || !in_scope(e, hosts_[h])) continue;
         if (joinable(hosts_[h], d)) return h;  // joining a call of this step costs neither slot nor limit
         if (!lane_has_room(lanes_[l]) || !host_has_room(hosts_[h])) continue;
-        if (!best || better(hosts_[h], hosts_[*best])) best = h;
+        if (!best || better(hosts_[h], hosts_[*best], safe)) best = h;
       }
     }
     return best;
@@ -542,12 +543,20 @@
     return span(std::max(least, kStallP95 * p95));
   }
 
+  // A failure or two put a host last for a pause, and an open circuit lets one call through after its pause:
+  // only a call there can show that it works again. That is for work which may be repeated.
+  int standing(const Host& h, bool safe) const {
+    if (h.failures >= kOpenAfter) return safe ? 0 : 3;
+    if (h.failures > 0 && now_ < h.retry_at) return 2;
+    return 1;
+  }
+
   // Healthy first, then the host with the fewest calls out, then one in the relay's own zone: a call across
   // zones holds its slot for a round trip more, and for several where its connection is new. Then one with an
   // idle connection.
-  bool better(const Host& a, const Host& b) const {
-    if (a.failures != b.failures) return a.failures < b.failures;
-    if (a.cold != b.cold) return b.cold;
+  bool better(const Host& a, const Host& b, bool safe) const {
+    if (standing(a, safe) != standing(b, safe)) return standing(a, safe) < standing(b, safe);
+    if (!safe && a.cold != b.cold) return b.cold;  // else its budget bounds it
     if (a.in_flight != b.in_flight) return a.in_flight < b.in_flight;
     if (s_.zone && a.zone != b.zone) return a.zone == *s_.zone;
     return idle(a) > idle(b);
@@ -732,10 +741,10 @@
       for (const std::size_t other : l.hosts) outage_seen(hosts_[other]);
       l.pause_until = std::max(l.pause_until, now_ + pause);
     }
+    h.retry_at = now_ + pause;
     const bool mostly = weight == kFailed && mostly_failing(l);
     if (h.failures < kOpenAfter && !mostly) return;
     outage_seen(h);
-    h.retry_at = now_ + pause;
   }
 
   void outage_seen(Host& h) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -1000,5 +1000,28 @@
   for (std::size_t i = 0; i < 3; ++i) EXPECT_LT(relay.sends[3].send.timeout, relay.sends[i].send.timeout);
 }
 
+// Only a call can show that a host works again, and where another one is free none would ever go there.
+TEST(Sender, AHostThatFailedIsTriedAgainThoughAnotherWorks) {
+  Relay relay(settings(), 2);
+  const auto to_first = [&](const Relay::Sent& sent) { return sent.send.host == HostId(0); };
+  std::uint32_t id = 0;
+  const auto answer_all = [&](Result first) {
+    for (int both = 0; both < 2; ++both) relay.take(id++);  // one for each, where both are good
+    for (const std::uint32_t out : std::set(relay.pending)) {
+      const auto sent = std::ranges::find_if(relay.sends.rbegin(), relay.sends.rend(),
+                                             [&](const auto& s) { return s.send.id == MessageId(out); });
+      relay.end(out, to_first(*sent) ? first : Result::delivered);
+    }
+    relay.run_for(100ms);
+  };
+  for (int i = 0; i < 100; ++i) answer_all(Result::timed_out);
+  const std::size_t before = relay.sends.size();
+  EXPECT_GE(std::ranges::count_if(relay.sends, to_first), 3) << "probed while it fails";
+  EXPECT_LE(std::ranges::count_if(relay.sends, to_first), 40) << "and not with every call";
+  for (int i = 0; i < 300; ++i) answer_all(Result::delivered);
+  const auto tail = relay.sends.begin() + static_cast<std::ptrdiff_t>(before);
+  EXPECT_GE(std::count_if(tail, relay.sends.end(), to_first), 30);
+}
+
 }  // namespace
 }  // namespace vetchhinge
