Spread asking for the list over a span that grows with the fleet

Counted over the fleet with a trace of the watches: 60 calls come within one second after a broken watch or a kill, 13 to 17 a second go on after that, and discovery answers 503 after 2 s to nearly all of them for 12 and 16 s. It answers one call each 52 ms; 286 calls took the 16.4 s from 16.45 to 32.81 s, so it works through those that have given up as well. Asked as often as that it never catches up. Ruled out: that it was silent the whole time (it answered 32 calls at 14.8 to 16.4 s, one each 52 ms), and the time-out of the relay's own call (4 s, never reached).

At fault: on(HostList) and ask_for_list() in policy.cpp. All ask at once at their start and after a break, with a jitter of a quarter of 0.7 s, and the pause never grew beyond a fifth of the time in which they must ask, 2 s. Now the moments are spread over 50 ms for each other relay, more with each failure, up to 0.8 of that time. The known list serves meanwhile; who knows no host asks at once. Two relays ask as before.

The concern has a file of its own.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "asking.h"
 #include "cap.h"
 #include "fleet.h"
 #include "idle_age.h"
@@ -77,11 +78,9 @@
 constexpr double kAgainShare = 0.4;  // of such a pause, rest of a message after a failed attempt (ours)
 constexpr Duration kWindowMargin = 100ms;  // a key's window is held to end so much earlier (ours)
 
-// Expiry, timers, list
+// Expiry, timers
 constexpr Duration kExpiryMargin = 15ms;  // final failure so long before the deadline (ours)
 constexpr Duration kHeartbeat = 20ms;     // between looks at waits and budgets while work is held (ours)
-constexpr Duration kAskAgain = 700ms;     // before asking again for the list, first try (ours)
-constexpr double kAskShare = 0.2;         // longest, share of the time in which it must be asked (ours)
 
 // Calls
 constexpr std::uint64_t kEarlierCall = 1ULL << 63;  // marks those that an earlier process numbered
@@ -99,9 +98,11 @@
   std::vector<Action> step(Time now, std::span<const Event> events) {
     now_ = now;
     ++step_;
-    if (!all_rate_) start(now);
+    const bool first = !all_rate_;
+    if (first) start(now);
     actions_.clear();
     for (const Event& e : events) std::visit([this](const auto& event) { on(event); }, e);
+    if (first && fleet_.known() > 0) ask_at_ = now + first_ask(s_, unit());
     ask_for_list();
     control();
     expire();
@@ -121,19 +122,15 @@
     idle_ages_.assign(s_.kinds.size(), IdleAge(s_.connection_idle));
   }
 
-  double jitter(double spread) {
-    // Not std::uniform_real_distribution: its sequence may differ between standard libraries.
-    const double unit = static_cast<double>(random_() >> 11) * 0x1.0p-53;
-    return 1 + spread * (2 * unit - 1);
-  }
+  // Not std::uniform_real_distribution: its sequence may differ between standard libraries.
+  double unit() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+  double jitter(double spread) { return 1 + spread * (2 * unit() - 1); }
 
   // -------------------------------------------------------------------------- list tracking
   void on(const HostList& list) {
     if (list.kind == HostList::Kind::lost) {
-      // Jitter and doubling: after a failure of the list every relay would ask at the same moment.
       watching_ = false;
-      const Duration pause = kAskAgain * (1 << std::min(asks_failed_++, 4));
-      ask_at_ = now_ + scaled(std::min(pause, scaled(s_.list_within, kAskShare)), jitter(kJitter));
+      ask_at_ = now_ + next_ask(s_, asks_failed_++, unit());
       return;
     }
     if (list.kind != HostList::Kind::cached) {
@@ -210,7 +207,7 @@
   void ask_for_list() {
     if (!s_.list_on_request || watching_ || now_ < ask_at_) return;
     actions_.push_back(WatchList{});
-    ask_at_ = now_ + scaled(s_.list_within, kAskShare * jitter(kJitter));  // unless an answer comes first
+    ask_at_ = now_ + unanswered_ask(s_, unit());
   }
 
   // -------------------------------------------------------------------------- admission
