Keep each relay to its part of a told limit while little of that is left

With a trace of each call, summed over the fleet: the waits that it tells grow to 693 ms and stay there, so what it refuses counts against its limit. Partners with a span of 2 s accept half of their limit for as long as they refuse. Each of 100 relays, at 0.3 messages a second of its own, sent one call each 1 to 3 s.

Not a matter of which relay: messages come evenly to all.

At fault: pace_floor() in ramp.cpp, 1 call a second or 1.3 times the usual rate for each relay however many there are, and refused() in policy.cpp, whose pauses end at one and a half seconds times a power of two whatever the limit. The share left and the limit that answers tell were read and not used. Now, while less than half of the limit was left when last told (for 10 s), a relay sends its part: an even one, or 1.4 times the share of the limit that it usually uses, times 0.6 with nothing left and more above. After a refusal near the limit it comes again at a moment drawn from the time between such calls, behind a told wait. What can't be a limit (under 1 or over 1e6 calls a second, not finite, a negative share) counts as not told. The least pace is shared out as well.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -69,6 +69,8 @@
 constexpr Duration kBackoffLeast = 250ms;  // and at least so long; at most one aim (ours)
 constexpr double kToldShare = 0.5;         // of such a pause, after a told wait (ours)
 constexpr double kBackoffJitter = 0.5;     // spread of these pauses, both ways (ours)
+constexpr double kTurnShare = 0.5;         // near a limit: most, share of the time between own calls (ours)
+constexpr int kTurnMost = 4;               // and multiple of the aim (ours)
 constexpr int kBackoffDoublings = 3;       // how often it doubles (ours)
 constexpr int kShutRefusals = 3;        // refusals in a row, over kShutSpan, that count as an outage (ours)
 constexpr Duration kShutSpan = 2500ms;  // see above; longer than a limit's usual span (ours)
@@ -479,7 +481,7 @@
     const bool safe = s_.classes[e.message.cls].effect == Effect::idempotent;
     for (const std::size_t l : d.lanes) {
       if (!lane_ready(lanes_[l])) continue;
-      refill_pace(lanes_[l], now_);
+      refill_pace(lanes_[l], s_, now_);
       for (const std::size_t h : lanes_[l].hosts) {
         if (!hosts_[h].usable() || !in_scope(e, hosts_[h])) continue;
         if (joinable(hosts_[h], d)) return h;  // joining a call of this step costs neither slot nor limit
@@ -505,7 +507,7 @@
 
   bool lane_has_room(const Lane& l) const {
     if (l.in_flight >= l.cap || in_flight_ >= static_cast<int>(s_.slots)) return false;
-    if (l.pace > 0 && l.pace_budget < 1) return false;
+    if (l.pace_budget < 1) return false;
     if (!l.poor()) return true;
     // All slow or failing destinations together leave half of the slots to the others.
     int poor_out = 0;
@@ -612,8 +614,8 @@
     a.fate = ran ? Fate::may_have_run : Fate::never_ran;
     --e.out;
     settle_key(e, o.result);
-    settle_call(a, o);
     heed(lanes_[hosts_[a.host].lane], o);
+    settle_call(a, o);
     if (o.terminal && !e.done) close(e);
     if (!e.done) retry_or_end(e, o.result);
     forget_if_over(o.id);
@@ -630,6 +632,7 @@
 
   // Every outcome's wait binds, also those of one call that tell different ones.
   void heed(Lane& l, const Outcome& o) {
+    if (o.report) heed_report(l, *o.report, now_);
     if (o.wait > 0us) l.wait_until = std::max(l.wait_until, now_ + o.wait + kWaitMargin);
   }
 
@@ -694,6 +697,7 @@
         ++l.fresh;
         l.refusals = l.failures = 0;
         if (!h.cold) l.usual_calls.add(now_, 1);
+        if (l.told_limit > 0) l.usual_share.add(now_, 1 / l.told_limit);
         h.failures = 0;
         h.last_success = now_;
         if (h.cold && !h.warm_since) {
@@ -759,15 +763,23 @@
 
   // A refusal that told no wait is backed off from. After any, calls go at a pace, for a cap alone doesn't
   // bound calls a second where they are quick, and refused calls may use up the limit. Never under the usual
-  // rate: small destinations would starve. Refusals over a longer span count as an outage, as of a
-  // destination that is shut.
+  // rate: small destinations would starve. Near a told limit each relay keeps to its part of that instead,
+  // and comes again at a moment of its own: all were refused, and told to wait, at once. Refusals over a
+  // longer span count as an outage, as of a destination that is shut.
   void refused(Lane& l, const Call& call, Duration told) {
     if (l.refusals++ == 0) l.refused_since = now_;
-    // At the end of a told wait all relays told would come at once, so some of the pause follows it.
-    const Duration pause = backoff(l) * (1 << std::min(l.refusals - 1, kBackoffDoublings));
-    const double part = told <= 0us ? 1.0 : s_.relays > kFewRelays ? kToldShare : 0.0;
-    l.pause_until = std::max(l.pause_until, now_ + told + scaled(pause, part * jitter(kBackoffJitter)));
-    cut_pace(l, call, hosts_[call.host].cold, now_);
+    Duration pause = backoff(l) * (1 << std::min(l.refusals - 1, kBackoffDoublings));
+    if (near_limit(l, now_)) {
+      const double turn = kTurnShare / part_of_limit(l, s_, now_);
+      pause = std::min(scaled(span(turn), unit()), kTurnMost * s_.classes.front().aim);
+      l.pace_budget = std::min(l.pace_budget, jitter(1) - 1);
+    } else {
+      // At the end of a told wait all relays told would come at once, so some of the pause follows it.
+      const double part = told <= 0us ? 1.0 : s_.relays > kFewRelays ? kToldShare : 0.0;
+      pause = scaled(pause, part * jitter(kBackoffJitter));
+      cut_pace(l, call, hosts_[call.host].cold, s_, now_);
+    }
+    l.pause_until = std::max(l.pause_until, now_ + told + pause);
     const bool shut = l.refusals >= kShutRefusals && now_ - l.refused_since > kShutSpan;
     if (shut || told > s_.overload_for) {
       for (const std::size_t h : l.hosts) outage_seen(hosts_[h]);
--- a/src/ramp.cpp
+++ b/src/ramp.cpp
@@ -7,12 +7,20 @@
 
 using namespace std::chrono_literals;
 
-constexpr double kPaceCut = 0.8;     // factor on the pace at a refusal (ours)
-constexpr double kPaceGrowth = 0.1;  // growth of a pace in a second (ours)
-constexpr double kPaceQuiet = 1.0;   // seconds without a refusal: from then on it grows ever faster (ours)
-constexpr double kPaceLeast = 1.0;   // calls a second; a pace never goes under this (ours)
-constexpr double kPaceRoom = 1.3;    // a pace never goes under this multiple of the usual rate (ours)
-constexpr double kPaceFree = 3.0;    // multiple of that least pace above which a pace is dropped (ours)
+constexpr double kPaceCut = 0.8;        // factor on the pace at a refusal (ours)
+constexpr double kPaceGrowth = 0.1;     // growth of a pace in a second (ours)
+constexpr double kPaceQuiet = 1.0;      // seconds without a refusal: from then on it grows ever faster (ours)
+constexpr double kPaceLeast = 1.0;      // calls a second; a pace never goes under this (ours)
+constexpr double kPaceLeastAll = 10.0;  // nor under its part of this, from all relays together (ours)
+constexpr double kPaceRoom = 1.3;       // a pace never goes under this multiple of the usual rate (ours)
+constexpr double kPaceFree = 3.0;       // multiple of that least pace above which a pace is dropped (ours)
+constexpr double kLimitLeast = 1.0;     // calls a second; what is told under this can't be a limit (ours)
+constexpr double kLimitMost = 1e6;      // nor above this (ours)
+constexpr Duration kToldFor = 10s;      // so long what an answer told of it counts (ours)
+constexpr double kFreeLeft = 0.5;       // share left of a limit from which on calls go freely (ours)
+constexpr double kPartNone = 0.6;    // of its part of the limit that a relay uses while none is left (ours)
+constexpr double kPartGrowth = 2.0;  // and more of it for each share left (ours)
+constexpr double kPartRoom = 1.4;    // a relay's part, multiple of the share that it usually uses (ours)
 constexpr double kRampShare = 1.2;   // share of overload_factor spent on a cold host (ours)
 constexpr double kRampLeast = 1.0;   // calls a second a cold destination may get at least (ours)
 constexpr double kRampLeastAll = 100.0;  // and from all relays together (ours)
@@ -22,25 +30,48 @@
 
 }  // namespace
 
-double pace_floor(Lane& l, Time now) {
-  return std::max(kPaceLeast, kPaceRoom * l.usual_calls.per_second(now, kRateLeast));
+void heed_report(Lane& l, const LimitReport& report, Time now) {
+  const double limit = report.calls_per_second;
+  if (!(limit >= kLimitLeast && limit <= kLimitMost && report.share_left >= 0)) return;  // also where NaN
+  l.told_limit = limit;
+  l.share_left = report.share_left;
+  l.told_at = now;
 }
 
-void cut_pace(Lane& l, const Call& call, bool cold, Time now) {
+bool near_limit(const Lane& l, Time now) {
+  return l.told_limit > 0 && now < l.told_at + kToldFor && l.share_left < kFreeLeft;
+}
+
+double part_of_limit(Lane& l, const Settings& s, Time now) {
+  const double even = 1.0 / s.relays;
+  const double own = kPartRoom * l.usual_share.per_second(now, kRateLeast);
+  return l.told_limit * std::max(even, own) * (kPartNone + kPartGrowth * l.share_left);
+}
+
+double pace_floor(Lane& l, const Settings& s, Time now) {
+  return std::max(std::min(kPaceLeast, kPaceLeastAll / s.relays),
+                  kPaceRoom * l.usual_calls.per_second(now, kRateLeast));
+}
+
+void cut_pace(Lane& l, const Call& call, bool cold, const Settings& s, Time now) {
   if (!cold && (l.pace == 0 || call.sent > l.pace_cut_at)) {
     const double recent = l.recent_calls.per_second(now, kRateLeast);
-    l.pace = std::max(pace_floor(l, now), kPaceCut * (l.pace > 0 ? std::min(l.pace, recent) : recent));
+    l.pace = std::max(pace_floor(l, s, now), kPaceCut * (l.pace > 0 ? std::min(l.pace, recent) : recent));
     l.pace_cut_at = l.pace_at = now;
   }
   l.pace_budget = 0;
 }
 
-void refill_pace(Lane& l, Time now) {
+void refill_pace(Lane& l, const Settings& s, Time now) {
   const double passed = seconds(now - std::exchange(l.pace_at, now));
   // The longer nothing was refused, the faster: limits that were low for a while are high again at once.
-  l.pace *= 1 + kPaceGrowth * passed * std::max(1.0, seconds(now - l.pace_cut_at) / kPaceQuiet);
-  l.pace_budget = std::min(l.pace_budget + l.pace * passed, std::max(1.0, l.pace * kBurstSpan));
-  if (l.pace > kPaceFree * pace_floor(l, now)) l.pace = 0;
+  const double quiet = std::max(1.0, seconds(now - l.pace_cut_at) / kPaceQuiet);
+  l.pace *= 1 + kPaceGrowth * passed * quiet;
+  if (l.pace > kPaceFree * pace_floor(l, s, now)) l.pace = 0;
+  double rate = l.pace > 0 ? l.pace : kLimitMost;
+  if (near_limit(l, now)) rate = std::min(rate, part_of_limit(l, s, now));
+  l.pace_budget =
+      rate == kLimitMost ? 1 : std::min(l.pace_budget + rate * passed, std::max(1.0, rate * kBurstSpan));
 }
 
 void refill_budget(Host& h, Lane& l, const Settings& s, Time now) {
--- a/src/ramp.h
+++ b/src/ramp.h
@@ -1,5 +1,5 @@
-// What limits calls a second where a cap alone does not: the pace of a lane after a refusal, and the budget
-// of a cold host.
+// What limits calls a second where a cap alone does not: a relay's part of a told limit, the pace of a lane
+// after a refusal, and the budget of a cold host.
 #pragma once
 
 #include "records.h"
@@ -8,12 +8,22 @@
 
 constexpr Duration kRateLeast = std::chrono::seconds(2);  // least time over which a rate is taken (ours)
 
-double pace_floor(Lane& l, Time now);
+// What an answer tells of the limit. What can't be a limit counts as not told.
+void heed_report(Lane& l, const LimitReport& report, Time now);
+
+// Little of the limit was left when it was last told.
+bool near_limit(const Lane& l, Time now);
+
+// Calls a second that this relay may make near the limit. Nobody tells how much the others want: an even
+// part, or what it usually used of the limit with some room, so that the few that carry far more keep theirs.
+// While nothing is left all stay under the limit together, for some destinations count refused calls against
+// it: they accept nothing more until the calls of all fall under it.
+double part_of_limit(Lane& l, const Settings& s, Time now);
 
 // A refusal's share: the pace falls, once for calls that were out together.
-void cut_pace(Lane& l, const Call& call, bool cold, Time now);
+void cut_pace(Lane& l, const Call& call, bool cold, const Settings& s, Time now);
 
-void refill_pace(Lane& l, Time now);
+void refill_pace(Lane& l, const Settings& s, Time now);
 
 // A returning host gets what the settings say it can surely take, in terms of what it took before: its usual
 // rate is under its capacity, so that rate's share at start, grown to the whole over the warm-up, stays under
--- a/src/records.h
+++ b/src/records.h
@@ -68,7 +68,11 @@
 
 struct Lane {  // what shares one limit: a destination, or one of its routes where these are apart
   Lane(int start_cap, RecentSamples samples, RateMeter recent, RateMeter usual)
-      : cap(start_cap), latencies(std::move(samples)), recent_calls(recent), usual_calls(usual) {}
+      : cap(start_cap),
+        latencies(std::move(samples)),
+        recent_calls(recent),
+        usual_calls(usual),
+        usual_share(usual) {}
   std::size_t destination = 0;
   bool poor() const { return slow || failing; }
   std::vector<std::size_t> hosts;
@@ -78,6 +82,7 @@
   RecentSamples latencies;
   RateMeter recent_calls;   // calls sent
   RateMeter usual_calls;    // calls accepted while not cold
+  RateMeter usual_share;    // the same as a share of the limit told with each
   std::size_t fresh = 0;    // latencies since the last cut for slowness
   double usual_before = 0;  // calls a second before the outage that is on or just over
   double usual_p95 = 0;     // seconds; 0: not known yet
@@ -91,7 +96,10 @@
   Time refused_since{};
   int failures = 0;  // weight of those in a row, one after the other
   Time failed_at{};
-  double pace = 0;  // calls a second after a refusal; 0: free
+  double told_limit = 0;  // calls a second from all relays, as an answer told it; 0: none did
+  Time told_at{};
+  double share_left = 1;  // of that limit, at that moment
+  double pace = 0;        // calls a second after a refusal; 0: free
   double pace_budget = 0;
   Time pace_at{}, pace_cut_at{};
 };
--- /dev/null
+++ b/tests/fleet_limit_test.cpp
@@ -0,0 +1,242 @@
+// What a destination with a limit gets from all relays of a fleet: each is one Sender, stepped with given
+// events.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <functional>
+#include <limits>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "vetchhinge/policy.h"
+
+namespace vetchhinge {
+namespace {
+
+using namespace std::chrono_literals;
+
+Settings settings(std::uint32_t relays, std::uint64_t seed) {
+  Settings s;
+  s.seed = seed;
+  s.slots = 5;
+  s.max_open = 70;
+  s.max_attempts = 6;
+  s.relays = relays;
+  s.wait_hints = true;
+  s.start_capacity = 0.2;
+  s.overload_factor = 2;
+  s.overload_for = 1500ms;
+  s.warm_after = 10s;
+  s.max_wait_hint = 3s;
+  s.connection_idle = 5s;
+  s.tick = 1ms;
+  s.classes = {{.aim = 1500ms, .deadline = 8s, .effect = Effect::idempotent, .late_worth = 0.1}};
+  s.kinds = {{}};
+  return s;
+}
+
+using Answer = std::function<Outcome(Time)>;  // to a call that comes at that moment
+
+// Relays that get messages at a steady rate each. Every call is answered 100 ms after it was sent.
+class Fleet {
+ public:
+  Fleet(std::uint32_t relays, double messages_per_second, Answer answer) : answer_(std::move(answer)) {
+    for (std::uint32_t i = 0; i < relays; ++i) {
+      members_.push_back(
+          {Sender(settings(relays, 1 + i)), messages_per_second, i / double(relays), {}, {}, 0});
+    }
+  }
+
+  // What has that place gets so many messages a second.
+  void load(std::size_t member, double messages_per_second) { members_[member].rate = messages_per_second; }
+
+  void run(Duration span) {
+    for (const Time end = now_ + span; now_ < end; now_ += 20ms) {
+      for (std::size_t i = 0; i < members_.size(); ++i) step(members_[i], i);
+    }
+  }
+
+  // Calls since the last question, a second of `span`.
+  double calls(Duration span) {
+    double all = 0;
+    for (const auto& [member, count] : counts_) all += count;
+    counts_.clear();
+    return all / std::chrono::duration<double>(span).count();
+  }
+  double calls_of(std::size_t member, Duration span) {
+    return counts_[member] / std::chrono::duration<double>(span).count();
+  }
+
+ private:
+  struct Member {
+    Sender sender;
+    double rate;
+    double due;  // messages that have come together
+    std::multimap<Time, Outcome> answers;
+    std::map<MessageId, std::uint32_t> attempts;
+    std::uint32_t last;
+  };
+
+  void step(Member& m, std::size_t place) {
+    std::vector<Event> events;
+    if (now_ == Time{}) {
+      events.emplace_back(HostList{HostList::Kind::cached, {{HostId(1), DestinationId(1), ZoneId(0)}}});
+    }
+    for (m.due += m.rate * 0.02; m.due >= 1; m.due -= 1) {
+      events.emplace_back(Message{MessageId(++m.last), 0, DestinationId(1), now_ + 8s, {}, {}, {}});
+    }
+    while (!m.answers.empty() && m.answers.begin()->first <= now_) {
+      events.emplace_back(m.answers.begin()->second);
+      m.answers.erase(m.answers.begin());
+    }
+    for (const Action& a : m.sender.step(now_, events)) {
+      const auto* send = std::get_if<Send>(&a);
+      if (!send) continue;
+      ++counts_[place];
+      Outcome outcome = answer_(now_);
+      outcome.id = send->id;
+      outcome.attempt = m.attempts[send->id]++;
+      outcome.terminal = outcome.result == Result::delivered;
+      outcome.elapsed = 100ms;
+      m.answers.emplace(now_ + 100ms, outcome);
+    }
+  }
+
+  Answer answer_;
+  std::vector<Member> members_;
+  std::map<std::size_t, int> counts_;
+  Time now_{};
+};
+
+Outcome full(double left, double limit, Duration wait = 0us) {
+  Outcome o;
+  o.result = Result::full;
+  o.wait = wait;
+  o.report = LimitReport{left, limit};
+  return o;
+}
+
+Outcome delivered(double left, double limit) {
+  Outcome o;
+  o.report = LimitReport{left, limit};
+  return o;
+}
+
+// Refused calls may count: as long as more come than the limit allows, none is accepted.
+TEST(FleetLimit, CallsOfAHundredFallUnderALimitThatHasNoneLeft) {
+  for (const Duration wait : {0ms, 700ms}) {
+    Fleet fleet(100, 1.4, [&](Time) { return full(0, 50, wait); });
+    fleet.run(3s);
+    fleet.calls(3s);
+    fleet.run(4s);
+    const double calls = fleet.calls(4s);
+    EXPECT_LT(calls, 40) << wait.count();
+    EXPECT_GT(calls, 10) << wait.count();
+  }
+}
+
+TEST(FleetLimit, ToldToWaitTogetherTheyDoNotComeTogether) {
+  Fleet fleet(100, 1.0, [&](Time now) {
+    return now < Time(4s) ? full(0, 50, Time(4s) - now) : full(0, 50);  // to the end of a span
+  });
+  fleet.run(4s);
+  fleet.calls(4s);
+  fleet.run(500ms);
+  EXPECT_LE(fleet.calls(1s), 40);
+}
+
+// Half as much again is asked for as the limit allows in each second.
+TEST(FleetLimit, NearTheLimitTheyUseItAndFewAreRefused) {
+  std::map<std::int64_t, int> taken;
+  int accepted = 0, refused = 0;
+  Fleet fleet(100, 0.75, [&](Time now) {
+    int& count = taken[now.time_since_epoch() / 1s];
+    const bool room = count < 50;
+    ++(room ? accepted : refused);
+    if (room) ++count;
+    return room ? delivered(1 - count / 50.0, 50) : full(0, 50);
+  });
+  fleet.run(10s);
+  accepted = refused = 0;
+  fleet.run(20s);
+  EXPECT_GT(accepted, 20 * 50 * 0.75);
+  EXPECT_LT(refused, accepted / 2);
+}
+
+TEST(FleetLimit, FarFromTheLimitNothingIsHeldBack) {
+  Fleet fleet(100, 0.5, [&](Time) { return delivered(0.8, 80); });
+  fleet.run(5s);
+  fleet.calls(5s);
+  fleet.run(10s);
+  EXPECT_NEAR(fleet.calls(10s), 50, 3);
+}
+
+TEST(FleetLimit, CallsFollowALimitThatIsLowered) {
+  double left = 0.8, limit = 80;
+  Fleet fleet(100, 0.5, [&](Time) { return delivered(left, limit); });
+  fleet.run(20s);
+  left = 0;
+  limit = 20;
+  fleet.run(4s);
+  fleet.calls(4s);
+  fleet.run(4s);
+  EXPECT_LT(fleet.calls(4s), 25);
+}
+
+TEST(FleetLimit, WhoCarriesMoreHasAGreaterPart) {
+  double left = 0.8;
+  Fleet fleet(100, 0.2, [&](Time) { return delivered(left, 50); });
+  fleet.load(0, 10);
+  fleet.run(20s);
+  left = 0;
+  fleet.run(3s);
+  fleet.calls(3s);
+  fleet.run(5s);
+  EXPECT_GT(fleet.calls_of(0, 5s), 4);
+}
+
+TEST(FleetLimit, TwoRelaysShareALimitInHalves) {
+  Fleet fleet(2, 30, [&](Time) { return full(0, 20); });
+  fleet.run(5s);
+  fleet.calls(5s);
+  fleet.run(10s);
+  const double calls = fleet.calls(10s);
+  EXPECT_LT(calls, 17);
+  EXPECT_GT(calls, 4);
+}
+
+// Missing, zero, negative, non-finite or absurd: as if nothing were told.
+TEST(FleetLimit, WhatCannotBeALimitIsNotTold) {
+  const auto calls = [](std::optional<LimitReport> report) {
+    Fleet fleet(20, 1.0, [&](Time) {
+      Outcome o;
+      o.report = report;
+      return o;
+    });
+    fleet.run(20s);
+    return fleet.calls(20s);
+  };
+  const double none = calls(std::nullopt);
+  EXPECT_GT(none, 18);
+  const double inf = std::numeric_limits<double>::infinity(), nan = std::numeric_limits<double>::quiet_NaN();
+  for (const double limit : {0.0, -3.0, inf, -inf, nan, 1e300, 1e-9}) {
+    EXPECT_EQ(calls(LimitReport{0, limit}), none) << limit;
+  }
+  for (const double left : {-0.5, nan, -inf}) EXPECT_EQ(calls(LimitReport{left, 0.5}), none) << left;
+  EXPECT_EQ(calls(LimitReport{inf, 50}), none);
+}
+
+TEST(FleetLimit, AReportIsForgottenOnceItIsOld) {
+  bool tells = true;
+  Fleet fleet(20, 1.0, [&](Time) { return tells ? delivered(0, 2) : Outcome{}; });
+  fleet.run(5s);
+  tells = false;
+  fleet.run(15s);
+  fleet.calls(15s);
+  fleet.run(10s);
+  EXPECT_GT(fleet.calls(10s), 18);
+}
+
+}  // namespace
+}  // namespace vetchhinge
