Let the part of a limit that a relay uses grow with what is left, not end at half

One with 55 calls a second gets 20 a second until its answers tell that nearly all is left, then 85 to 125, then refuses for a second; it accepts 30 a second over the wave. Its bucket goes from empty to full in 0.4 s, and what is told of it is as old, so half of it left says nothing of the backlogs at all relays, which left together. Ruled out: told waits as the cause of the step (479 ms there, waves of 2 s and more).

At fault: near_limit() in ramp.cpp, which freed a relay with the first answer that told of half left. Now the part only grows with that, by up to the same again in a second until it is whole and by a quarter beyond it, where it is what others may want; at three times its part a relay is free again.

--- a/src/ramp.cpp
+++ b/src/ramp.cpp
@@ -18,11 +18,14 @@
 constexpr double kLimitMost = 1e6;      // nor above this (ours)
 constexpr Duration kToldFor = 10s;      // so long what an answer told of it counts (ours)
 constexpr double kFreeLeft = 0.5;       // share left of a limit from which on calls go freely (ours)
-constexpr double kPartNone = 0.6;    // of its part of the limit that a relay uses while none is left (ours)
-constexpr double kPartGrowth = 2.0;  // and more of it for each share left (ours)
-constexpr double kPartRoom = 1.4;    // a relay's part, multiple of the share that it usually uses (ours)
-constexpr double kRampShare = 1.2;   // share of overload_factor spent on a cold host (ours)
-constexpr double kRampLeast = 1.0;   // calls a second a cold destination may get at least (ours)
+constexpr double kPartNone = 0.6;     // of its part of the limit that a relay uses while none is left (ours)
+constexpr double kPartGrowth = 2.0;   // and more of it for each share left (ours)
+constexpr double kPartRise = 1.0;     // growth of that in a second while all is left (ours)
+constexpr double kPartBeyond = 0.25;  // the same above its part, which others may want (ours)
+constexpr double kPartFree = 3.0;     // multiple of its part above which a relay is free (ours)
+constexpr double kPartRoom = 1.4;     // a relay's part, multiple of the share that it usually uses (ours)
+constexpr double kRampShare = 1.2;    // share of overload_factor spent on a cold host (ours)
+constexpr double kRampLeast = 1.0;    // calls a second a cold destination may get at least (ours)
 constexpr double kRampLeastAll = 100.0;  // and from all relays together (ours)
 constexpr double kBurstSpan = 0.3;       // seconds of a cold host's budget that may be saved up (ours)
 
@@ -30,22 +33,23 @@
 
 }  // namespace
 
+void take_part(Lane& l, double most) { l.part = l.part > 0 ? std::min(l.part, most) : most; }
+
 void heed_report(Lane& l, const LimitReport& report, Time now) {
   const double limit = report.calls_per_second;
   if (!(limit >= kLimitLeast && limit <= kLimitMost && report.share_left >= 0)) return;  // also where NaN
   l.told_limit = limit;
   l.share_left = report.share_left;
   l.told_at = now;
+  if (l.share_left < kFreeLeft) take_part(l, kPartNone + kPartGrowth * l.share_left);
 }
 
-bool near_limit(const Lane& l, Time now) {
-  return l.told_limit > 0 && now < l.told_at + kToldFor && l.share_left < kFreeLeft;
-}
+bool near_limit(const Lane& l, Time now) { return l.part > 0 && now < l.told_at + kToldFor; }
 
 double part_of_limit(Lane& l, const Settings& s, Time now) {
   const double even = 1.0 / s.relays;
   const double own = kPartRoom * l.usual_share.per_second(now, kRateLeast);
-  return l.told_limit * std::max(even, own) * (kPartNone + kPartGrowth * l.share_left);
+  return l.told_limit * std::max(even, own) * l.part;
 }
 
 double pace_floor(Lane& l, const Settings& s, Time now) {
@@ -68,6 +72,9 @@
   const double quiet = std::max(1.0, seconds(now - l.pace_cut_at) / kPaceQuiet);
   l.pace *= 1 + kPaceGrowth * passed * quiet;
   if (l.pace > kPaceFree * pace_floor(l, s, now)) l.pace = 0;
+  l.part *= 1 + (l.part < 1 ? kPartRise : kPartBeyond) * passed *
+                    std::max(0.0, (l.share_left - kFreeLeft) / (1 - kFreeLeft));
+  if (l.part > kPartFree) l.part = 0;
   double rate = l.pace > 0 ? l.pace : kLimitMost;
   if (near_limit(l, now)) rate = std::min(rate, part_of_limit(l, s, now));
   l.pace_budget =
--- a/src/ramp.h
+++ b/src/ramp.h
@@ -11,7 +11,7 @@
 // What an answer tells of the limit. What can't be a limit counts as not told.
 void heed_report(Lane& l, const LimitReport& report, Time now);
 
-// Little of the limit was left when it was last told.
+// Little of the limit was left of late. From then on the part of it that is used grows with what is left.
 bool near_limit(const Lane& l, Time now);
 
 // Calls a second that this relay may make near the limit. Nobody tells how much the others want: an even
--- a/src/records.h
+++ b/src/records.h
@@ -99,6 +99,7 @@
   double told_limit = 0;  // calls a second from all relays, as an answer told it; 0: none did
   Time told_at{};
   double share_left = 1;  // of that limit, at that moment
+  double part = 0;        // multiple of this relay's part of it that it may use; 0: free
   double pace = 0;        // calls a second after a refusal; 0: free
   double pace_budget = 0;
   Time pace_at{}, pace_cut_at{};
--- a/tests/fleet_limit_test.cpp
+++ b/tests/fleet_limit_test.cpp
@@ -164,6 +164,22 @@
   EXPECT_LT(refused, accepted / 2);
 }
 
+// A limit that is full again soon after it was used up says little: freed by it, all bring their backlog.
+TEST(FleetLimit, WhatIsLeftAgainIsNotUsedUpAtOnce) {
+  double left = 0;
+  Fleet fleet(100, 1.0, [&](Time) { return left > 0 ? delivered(left, 50) : full(left, 50); });
+  fleet.run(6s);
+  left = 1;
+  fleet.run(1s);
+  fleet.calls(1s);
+  fleet.run(2s);
+  EXPECT_LT(fleet.calls(2s), 65);
+  fleet.run(15s);
+  fleet.calls(15s);
+  fleet.run(2s);
+  EXPECT_GT(fleet.calls(2s), 90);  // and yet it is all theirs in the end
+}
+
 TEST(FleetLimit, FarFromTheLimitNothingIsHeldBack) {
   Fleet fleet(100, 0.5, [&](Time) { return delivered(0.8, 80); });
   fleet.run(5s);
