Keep idle connections until a host turns a new one away

Each call of a relay that meets a partner once in some seconds opened one, though hosts keep idle ones for 5 s.

At fault: keep() in policy.cpp, which judged by the number of relays and the own rate alone. Now idle ones are kept until a new connection is refused, or turned away though the limit has room; from then on for four times the time that hosts keep them, the former rule holds. Up to four relays keep theirs as before.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -43,14 +43,16 @@
 constexpr double kTenantSlack = 1.15;    // a tenant counts as over its share above this multiple (ours)
 
 // Dispatch
-constexpr double kGatherShare = 0.06;    // share of the aim that a batch may wait to fill (ours)
-constexpr double kGuessShare = 0.2;      // latency taken for a destination never seen, share of aim (ours)
-constexpr double kTimeoutP95 = 4.0;      // time-out, multiple of p95 (ours)
-constexpr double kTimeoutAim = 1.0;      // and at least this share of the aim (ours)
-constexpr double kTimeoutOnce = 2.0;     // multiple of that for work that may not be repeated (ours)
-constexpr double kTimeoutShort = 0.6;    // multiple of it where no slot is left (ours)
-constexpr double kWindowShare = 0.6;     // time-out of keyed work, most of the key's window (ours)
-constexpr double kFewRelays = 4.0;       // so few relays may all keep idle connections to a host (ours)
+constexpr double kGatherShare = 0.06;  // share of the aim that a batch may wait to fill (ours)
+constexpr double kGuessShare = 0.2;    // latency taken for a destination never seen, share of aim (ours)
+constexpr double kTimeoutP95 = 4.0;    // time-out, multiple of p95 (ours)
+constexpr double kTimeoutAim = 1.0;    // and at least this share of the aim (ours)
+constexpr double kTimeoutOnce = 2.0;   // multiple of that for work that may not be repeated (ours)
+constexpr double kTimeoutShort = 0.6;  // multiple of it where no slot is left (ours)
+constexpr double kWindowShare = 0.6;   // time-out of keyed work, most of the key's window (ours)
+constexpr double kFewRelays = 4.0;     // so few relays may all keep idle connections to a host (ours)
+constexpr double kThriftyFor =
+    4.0;  // time that hosts keep them, multiple: so long a full table counts (ours)
 constexpr double kKeepLatencies = 12.0;  // else kept where calls come within this multiple of latency (ours)
 constexpr double kBatchWeight = 0.1;     // weight of each further message in a call on a cold budget (ours)
 
@@ -677,16 +679,18 @@
     });
   }
 
-  // Idle connections count at hosts that take few, and hundreds of relays fill such a table while all of them
-  // are quiet. There is room for one of each relay only where these are few, or the next call is soon. Where
-  // tables are large, this costs a handshake for each rare call.
+  // Idle connections of hundreds of relays fill the tables of hosts that take few, and nothing tells which
+  // do; without one each rare call costs a handshake. So they are kept until a new one is turned away though
+  // the limit has room, and then, for a while, only where the next call is soon. A few relays keep theirs.
   Duration keep(Lane& l) {
     const Duration known = idle_ages_[destinations_[l.destination].kind].keep();
-    if (s_.relays <= kFewRelays) return known;
+    if (s_.relays <= kFewRelays || now_ >= l.thrifty_until) return known;
     const double between = static_cast<double>(l.hosts.size()) / l.usual_calls.per_second(now_, kRateLeast);
     return between > kKeepLatencies * seconds(expected_latency(l.destination)) ? 0us : known;
   }
 
+  void turned_away(Lane& l) { l.thrifty_until = now_ + scaled(s_.connection_idle, kThriftyFor); }
+
   void count(Host& h, Lane& l, const Call& call, const Outcome& o) {
     activate(h.lane);
     learn_idle(l, call, o);
@@ -707,6 +711,7 @@
         return;
       case Result::full:
         ++l.bad;
+        if (call.idle == 0us && !near_limit(l, now_)) turned_away(l);
         refused(l, call, o.wait);
         return;
       case Result::not_sent:
@@ -719,6 +724,7 @@
           if (call.idle == 0us) failed(h, l, call, kBroken);
           return;
         }
+        if (o.result == Result::connect_failed) turned_away(l);
         [[fallthrough]];
       default:
         ++l.bad;
--- a/src/records.h
+++ b/src/records.h
@@ -91,6 +91,7 @@
   Time judged_at{};
   bool active = false;  // there may be something to judge
   bool slow = false, failing = false;
+  Time thrifty_until{};              // idle connections are given up early
   Time wait_until{}, pause_until{};  // told; ours, after refusals that told none
   int refusals = 0;                  // in a row
   Time refused_since{};
