--- a/src/asking.cpp
+++ b/src/asking.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "spans.h"
+
 namespace vetchhinge {
 namespace {
 
@@ -14,16 +16,10 @@
 constexpr double kAskMost = 0.8;     // longest with that, share of the time in which it must be asked (ours)
 constexpr double kAskJitter = 0.25;  // spread of these pauses, both ways (ours)
 
-Duration scaled(Duration d, double by) {
-  return std::chrono::round<Duration>(std::chrono::duration<double>(d) * by);
-}
-
 Duration turns(const Settings& s, double rounds) {
   return scaled(std::min(kAskTurn * (s.relays - 1), scaled(s.list_within, kAskMost)), rounds);
 }
 
-double jitter(double unit) { return 1 + kAskJitter * (2 * unit - 1); }
-
 }  // namespace
 
 Duration first_ask(const Settings& s, double unit) { return turns(s, unit); }
@@ -31,12 +27,8 @@
 Duration next_ask(const Settings& s, int failures, double unit) {
   const int doublings = std::min(failures, kAskDoublings);
   const Duration pause = std::min(kAskAgain * (1 << doublings), scaled(s.list_within, kAskShare));
-  return std::min(scaled(pause, jitter(unit)) + turns(s, (1 + doublings) * unit),
+  return std::min(scaled(pause, 1 + kAskJitter * (2 * unit - 1)) + turns(s, (1 + doublings) * unit),
                   scaled(s.list_within, kAskMost * (1 - kAskJitter * unit)));
 }
 
-Duration unanswered_ask(const Settings& s, double unit) {
-  return scaled(s.list_within, kAskShare * jitter(unit));
-}
-
 }  // namespace vetchhinge
--- a/src/asking.h
+++ b/src/asking.h
@@ -14,7 +14,4 @@
 // After so many failures in a row before the last one.
 Duration next_ask(const Settings& s, int failures, double unit);
 
-// Unless an answer comes first.
-Duration unanswered_ask(const Settings& s, double unit);
-
 }  // namespace vetchhinge
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -23,6 +23,7 @@
 #include "recent.h"
 #include "records.h"
 #include "settings.h"
+#include "spans.h"
 
 namespace vetchhinge {
 namespace {
@@ -89,10 +90,6 @@
 // Calls
 constexpr std::uint64_t kEarlierCall = 1ULL << 63;  // marks those that an earlier process numbered
 
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration span(double seconds) { return Duration(std::llround(seconds * 1e6)); }
-Duration scaled(Duration d, double by) { return span(seconds(d) * by); }
-
 }  // namespace
 
 class Sender::Impl {
@@ -211,7 +208,7 @@
   void ask_for_list() {
     if (!s_.list_on_request || watching_ || now_ < ask_at_) return;
     actions_.push_back(WatchList{});
-    ask_at_ = now_ + unanswered_ask(s_, unit());
+    ask_at_ = now_ + next_ask(s_, asks_failed_ + 2, unit());  // unless an answer comes first
   }
 
   // -------------------------------------------------------------------------- admission
@@ -353,7 +350,7 @@
   // The hint is the time that the backlog takes, spread so that refused clients don't return together.
   void refuse(Entry& e) {
     const double backlog = std::min(backlog_time(e.destination), seconds(s_.max_wait_hint));
-    Duration wait(std::llround(backlog * 1e6));
+    Duration wait = span(backlog);
     // Nothing tells when a host comes back by hand: early enough to be tried again before the time is up.
     if (shut_by_hand(e.destination)) wait = scaled(e.message.valid_until - now_, kOutHint);
     wait = scaled(std::max(wait, kHintLeast), jitter(kHintSpread));
--- a/src/ramp.cpp
+++ b/src/ramp.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "spans.h"
+
 namespace vetchhinge {
 namespace {
 
@@ -29,8 +31,6 @@
 constexpr double kRampLeastAll = 100.0;  // and from all relays together (ours)
 constexpr double kBurstSpan = 0.3;       // seconds of a cold host's budget that may be saved up (ours)
 
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-
 }  // namespace
 
 void take_part(Lane& l, double most) { l.part = l.part > 0 ? std::min(l.part, most) : most; }
