Forget a refused connection once the host answers again after an outage

At fault: count() in policy.cpp, which takes a refused connection for a sign of a full table for 20 s, also where the host was down. Its first answer after an outage now ends that. Ruled out: idle connections broken by the outage alone, which are replaced within a second or two.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -704,6 +704,7 @@
         if (h.cold && !h.warm_since) {
           h.warm_since = h.budget_at = now_;
           h.budget = 0;
+          l.thrifty_until = {};  // it was down, not full
         }
         return;
       case Result::full:
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -668,6 +668,22 @@
   }
 }
 
+// While a partner was down every relay's connects failed, and for 20 s after it each call opened a new one.
+TEST(Many, AHostThatWasDownIsNotTakenForFull) {
+  Settings s = settings();
+  s.relays = 300;
+  Relay r(s);
+  r.take(1);
+  for (int failures = 0; failures < 3; ++failures) {
+    while (r.pending.empty()) r.run_for(10ms);
+    r.end(1, Result::connect_failed);
+  }
+  while (r.pending.empty()) r.run_for(10ms);
+  r.end(1, Result::delivered);
+  r.run_for(5s);
+  EXPECT_EQ(r.closed, 0);
+}
+
 TEST(Many, BusyConnectionsAreKept) {
   Settings s = settings();
   s.relays = 300;
