--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -344,6 +344,7 @@
     const auto [error] = co_await call.connection->socket.async_connect(call.address, kAwait);
     if (error || !call.connection->socket.is_open()) co_return false;
     call.used.established = true;
+    ++opened_;
     boost::system::error_code ignored;
     call.connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   }
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -77,6 +78,7 @@
 
   std::size_t calls_out() const { return calls_.size(); }
   std::size_t connections() const { return calls_.size() + idle_count_; }
+  std::uint64_t opened() const { return opened_; }  // connections, since the start
 
  private:
   struct Connection;
@@ -105,6 +107,7 @@
   boost::asio::steady_timer reap_timer_;
   std::unordered_map<vetchhinge::HostId, std::vector<std::shared_ptr<Connection>>> idle_;  // newest last
   std::size_t idle_count_ = 0;
+  std::uint64_t opened_ = 0;
   std::unordered_set<std::shared_ptr<Call>> calls_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -592,6 +592,7 @@
   if (counters_ == logged_) return;
   logged_ = counters_;
   std::cerr << "myrtlegrade: " << counters_ << " held=" << held_ << " calls_out=" << host_client_.calls_out()
+            << " connections=" << host_client_.connections() << " opened=" << host_client_.opened()
             << " clients=" << server_.connections() << std::endl;
 }
 
