Take a refusal for a sign of the limit whatever share of it was told

At fault: refused() in policy.cpp, which asks near_limit() alone. Now a refusal also keeps the relay to its whole part from then on, but not one that tells a wait as long as an outage.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -784,6 +784,7 @@
       cut_pace(l, call, hosts_[call.host].cold, s_, now_);
     }
     l.pause_until = std::max(l.pause_until, now_ + told + pause);
+    if (told <= s_.overload_for) keep_to_part(l);
     const bool shut = l.refusals >= kShutRefusals && now_ - l.refused_since > kShutSpan;
     if (shut || told > s_.overload_for) {
       for (const std::size_t h : l.hosts) outage_seen(hosts_[h]);
--- a/src/ramp.cpp
+++ b/src/ramp.cpp
@@ -35,6 +35,8 @@
 
 void take_part(Lane& l, double most) { l.part = l.part > 0 ? std::min(l.part, most) : most; }
 
+void keep_to_part(Lane& l) { take_part(l, 1); }
+
 void heed_report(Lane& l, const LimitReport& report, Time now) {
   const double limit = report.calls_per_second;
   if (!(limit >= kLimitLeast && limit <= kLimitMost && report.share_left >= 0)) return;  // also where NaN
--- a/src/ramp.h
+++ b/src/ramp.h
@@ -14,6 +14,10 @@
 // Little of the limit was left of late. From then on the part of it that is used grows with what is left.
 bool near_limit(const Lane& l, Time now);
 
+// After a refusal a relay keeps to its whole part, whatever share was told: that is some tenths of a second
+// old, and a small bucket goes from full to empty in less.
+void keep_to_part(Lane& l);
+
 // Calls a second that this relay may make near the limit. Nobody tells how much the others want: an even
 // part, or what it usually used of the limit with some room, so that the few that carry far more keep theirs.
 // While nothing is left all stay under the limit together, for some destinations count refused calls against
--- a/src/records.h
+++ b/src/records.h
@@ -98,7 +98,7 @@
   int failures = 0;  // weight of those in a row, one after the other
   Time failed_at{};
   double told_limit = 0;  // calls a second from all relays, as an answer told it; 0: none did
-  Time told_at{};
+  Time told_at = Time::min();
   double share_left = 1;  // of that limit, at that moment
   double part = 0;        // multiple of this relay's part of it that it may use; 0: free
   double pace = 0;        // calls a second after a refusal; 0: free
--- a/tests/fleet_limit_test.cpp
+++ b/tests/fleet_limit_test.cpp
@@ -180,6 +180,15 @@
   EXPECT_GT(fleet.calls(2s), 90);  // and yet it is all theirs in the end
 }
 
+// What is told of a small bucket is old: refused with much of it left, all pressed on.
+TEST(FleetLimit, ARefusalCountsMoreThanTheShareThatIsTold) {
+  Fleet fleet(100, 1.4, [&](Time) { return full(0.6, 50); });
+  fleet.run(3s);
+  fleet.calls(3s);
+  fleet.run(2s);
+  EXPECT_LT(fleet.calls(2s), 41);
+}
+
 TEST(FleetLimit, FarFromTheLimitNothingIsHeldBack) {
   Fleet fleet(100, 0.5, [&](Time) { return delivered(0.8, 80); });
   fleet.run(5s);
