--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -103,7 +103,7 @@
     if (first) start(now);
     actions_.clear();
     for (const Event& e : events) std::visit([this](const auto& event) { on(event); }, e);
-    if (first && fleet_.known() > 0) ask_at_ = now + first_ask(s_, unit());
+    if (first && s_.list_on_request && fleet_.known() > 0) ask_at_ = now + first_ask(s_, unit());
     ask_for_list();
     control();
     expire();
