Say who may act on what is copied: epochs, votes and leases, explored in every order

Need: copies of a relay's messages are of use only if exactly one process acts on each, whoever is frozen, cut off or lost.

Change: copies/group.h is one member's part: three know of a group's messages, the owner acts under a lease of one of the others, an heir needs the vote of another and takes what that one knows. What is said are states of an item, newest wins, so frames may come late, twice and in any order; an heir asks once its own promise has run out, and promises itself nothing before it has the vote. lab/ownership.cpp explores the code itself, one message and three members; of one kind of frame on one way only the newest is remembered, for an older one does nothing that it had not done sooner.

--- /dev/null
+++ b/copies/group.h
@@ -0,0 +1,156 @@
+// Who may act on a group's messages: one member's part of the exchange between the three that know of them.
+// A state machine: time and what others say go in, what to say comes out.
+//
+// - One owner an epoch, the origin in the first. Its word is taken by the others as long as they have
+// promised no
+//   later epoch; with each acknowledgement they promise, for the time of a lease from their own receipt, to
+//   vote for nobody else. The owner may begin a call while a lease of one of them runs, counted from when it
+//   asked.
+// - What must not be done twice is known to two of three before it is done. A new owner needs the vote of
+// another, and
+//   with it takes all that this one knows: two of three have one in common with any other two.
+// - Nobody is asked whether the owner is dead. Where its lease has run out it may not act, frozen or cut off
+// as it may
+//   be, and one that wakes up learns from the first that it asks that it owns nothing any more.
+//
+// What is assumed: clocks that count time while a process is stopped, and run apart by less than `margin` in
+// a lease; that a machine whose disk is lost does not come back with an older copy of it (recovery looks at
+// that). What nobody here can prevent: a process that is stopped between its last look at the clock and the
+// last byte of a call, and a partner that works on a call for longer than its time-out while the relay that
+// would end it is stopped.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "copies/types.h"
+
+namespace valedrum::copies {
+
+enum class Kind : std::uint8_t {
+  append,  // of the owner: what has changed; also asks for the lease again
+  ack,
+  ask,     // of a candidate: vote for me
+  vote,    // with all that the voter knows
+  refuse,  // not taken, or no vote: with the epoch that is promised by now
+};
+
+struct Say {
+  Kind kind = Kind::append;
+  Place from = 0;
+  std::uint64_t epoch = 0;
+  Time at{};    // the sender's clock: all times in it are by that one
+  Time echo{};  // of an acknowledgement: `at` of what it answers
+  Items items;  // of an acknowledgement: their stamps alone
+};
+
+class Group {
+ public:
+  // What outlasts the process, where the folder does.
+  struct Durable {
+    std::uint64_t promised = 1;  // epoch: nothing of an earlier one is taken
+    Place owner = 0;             // that it was promised to
+    Items items;
+  };
+  enum class Start : std::uint8_t { opened, restarted };
+
+  // `opened`: by the origin's first word, or by the origin itself.
+  Group(const Settings& settings, Shape shape, Durable durable, Start start, Time now);
+
+  // ------------------------------------------------------------------ as the owner
+  bool owns() const { return owns_; }
+  // Whether it may act now.
+  bool leads(Time now) const;
+  // Whether the last attempt of this message may leave now: its intent is held elsewhere, and is no older
+  // than a lease, so that others can tell from their own clocks when its call can't be out any more.
+  bool may_call(std::string_view id, Time now) const;
+  // A message that is new, or of which something is new; the stamp is put here. Goes out with the next
+  // flush().
+  void put(std::string id, Item item);
+  const Item* find(std::string_view id) const;
+  // How many others have the newest state of it; `bodies`: of those that hold the message itself.
+  unsigned held(std::string_view id, bool bodies) const;
+
+  // ------------------------------------------------------------------ events
+  void receive(Time now, const Say& say);
+  void wake(Time now);
+  // What has changed since goes to the others; with nothing to send, nothing.
+  void flush(Time now);
+  // What `other` has not acknowledged may be lost with its connection.
+  void reconnected(Place other);
+  Time next_wake() const;
+
+  std::vector<std::pair<Place, Say>> take() { return std::exchange(out_, {}); }
+
+  // To be on disk before anything that was taken after it is sent: ids whose items have changed, and whether
+  // the promise has.
+  struct Changed {
+    bool promise = false;
+    std::vector<std::string> items;
+  };
+  Changed take_changed() { return std::exchange(changed_, {}); }
+
+  // What became of the ownership since: at most one of them holds.
+  enum class Turn : std::uint8_t { none, won, lost };
+  Turn take_turn() { return std::exchange(turn_, Turn::none); }
+  // Of one that has just won: whether calls of an owner before it may still be out. Not where it has begun
+  // anew itself, for its calls ended with its process.
+  bool calls_may_be_out() const { return !own_start_; }
+  // When the last call of an item can't be out any more.
+  Time free_at(const Item& item) const;
+
+  // Forgets what is over and whose time passed before `now` by `keep`.
+  void prune(Time now, Duration keep);
+
+  const Items& items() const { return durable_.items; }
+  const Durable& durable() const { return durable_; }
+  const Shape& shape() const { return shape_; }
+  bool live() const { return live_ > 0; }
+  std::size_t live_count() const { return live_; }
+  // When the promise to the owner ends; of the owner: when its lease does.
+  Time bound_until() const { return bound_until_; }
+  std::uint64_t epoch() const { return durable_.promised; }
+
+  // For the model check: everything that a later step can depend on, by the clock's distance from now.
+  void describe(Time now, std::string& out) const;
+
+ private:
+  struct Peer {
+    std::optional<Time> lease_from;  // when that was sent which it has acknowledged
+    Time sent_at{};
+    std::set<std::string, std::less<>> unsent;        // ids
+    std::map<std::string, Stamp, std::less<>> acked;  // the newest state that it has said to have
+  };
+
+  void append(Time now, Place to);
+  void win(Time now);
+  void on_append(Time now, const Say& say);
+  void on_ack(Time now, const Say& say);
+  void on_ask(Time now, const Say& say);
+  void on_vote(Time now, const Say& say);
+  void on_refuse(const Say& say);
+  void merge(Time now, const Say& say);
+  void store(const std::string& id, Item item);
+  void step_down();
+  void promise(std::uint64_t epoch, Place owner);
+  bool broken(Without part) const { return settings_.without == part; }
+  Say say(Time now, Kind kind) const;
+
+  Settings settings_;
+  Shape shape_;
+  Durable durable_;
+  bool owns_ = false, own_start_ = false;
+  std::uint64_t revision_ = 0;
+  std::uint64_t seen_ = 0;   // highest epoch heard of
+  std::uint64_t asked_ = 0;  // epoch that votes are asked for; 0: none
+  Time bound_until_{};       // by the promise to the owner
+  Time ask_at_{};            // not before
+  std::size_t live_ = 0;
+  std::array<Peer, kVoters> peers_;
+  std::vector<std::pair<Place, Say>> out_;
+  Changed changed_;
+  Turn turn_ = Turn::none;
+};
+
+}  // namespace valedrum::copies
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -23,6 +23,7 @@
   add_search(app, status);
   add_drive(app, status);
   add_fleet(app, status);
+  add_copies(app, status);
   return run_command_line(app, argc, argv, status);
 }
 
--- /dev/null
+++ b/lab/ownership.cpp
@@ -0,0 +1,542 @@
+#include "ownership.h"
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "copies/group.h"
+
+namespace valedrum::lab {
+namespace {
+
+using copies::Duration;
+using copies::Group;
+using copies::Kind;
+using copies::kVoters;
+using copies::Place;
+using copies::Say;
+using copies::Time;
+using namespace std::chrono_literals;
+
+constexpr Duration kTick = 500ms;
+constexpr Duration kTimeout = 2 * kTick;  // of a call: longer than a lease, so that it may outlast one
+constexpr char kId[] = "m";
+const char* const kNames[] = {"origin", "first", "second"};
+
+copies::Settings settings(const OwnershipBounds& b) {
+  copies::Settings s;
+  s.lease = kTick;
+  s.margin = kTick / 2;
+  s.renew = kTick;
+  s.again = kTick / 5;
+  s.without = b.without;
+  return s;
+}
+
+struct Frame {
+  Place to = 0;
+  Say say;
+};
+
+struct Node {
+  std::optional<Group> group;                  // none: its process does not run
+  bool lost = false;                           // its folder is gone
+  std::shared_ptr<const Group::Durable> disk;  // while it does not run
+  unsigned called =
+      0;  // attempts up to this number have been decided on by this process: a call left, or none will
+  bool inherited = false;  // it has won, and not looked at what it won yet
+};
+
+struct Call {
+  Place by = 0;
+  Time ends{};
+};
+
+struct World {
+  Time now{};
+  std::array<Node, kVoters> nodes;
+  std::vector<std::shared_ptr<const Frame>> frames;  // said, and it may still arrive, however often
+  std::vector<Call> out;
+  unsigned calls = 0, ran = 0;  // attempts whose calls left, and of them those that were not turned away
+  unsigned crashes = 0, losses = 0, questions = 0;
+  bool told = false;  // the client has its 202
+  bool over = false;  // somebody has given the message its end
+  bool taken_over = false;
+};
+
+struct Step {
+  std::string text;
+  World world;
+  std::string broken;
+};
+
+class Explorer {
+ public:
+  explicit Explorer(const OwnershipBounds& bounds) : bounds_(bounds), settings_(settings(bounds)) {}
+
+  OwnershipResult run() {
+    const auto begun = std::chrono::steady_clock::now();
+    const auto passed = [&] {
+      return std::chrono::duration<double>(std::chrono::steady_clock::now() - begun).count();
+    };
+    enqueue(first(), 0, "");
+    while (!frontier_.empty()) {
+      if (result_.states >= bounds_.most_states || (bounds_.stop && bounds_.stop->load())) break;
+      const auto [world, at] = std::move(frontier_.front());
+      frontier_.pop_front();
+      for (Step& step : steps(world)) {
+        ++result_.steps;
+        if (!step.broken.empty()) {
+          result_.broken = step.broken;
+          result_.story = story(at);
+          result_.story.push_back(line(step.world, step.text));
+          result_.seconds = passed();
+          return std::move(result_);
+        }
+        enqueue(std::move(step.world), at, step.text);
+      }
+    }
+    result_.whole = frontier_.empty();
+    result_.seconds = passed();
+    return std::move(result_);
+  }
+
+ private:
+  struct Trace {
+    std::size_t before = 0;
+    std::string text;
+  };
+
+  static std::string line(const World& w, const std::string& text) {
+    char at[16];
+    std::snprintf(at, sizeof at, "%5.1f s  ",
+                  std::chrono::duration<double>(w.now.time_since_epoch()).count() - 100);
+    return at + text;
+  }
+
+  std::vector<std::string> story(std::size_t at) const {
+    std::vector<std::string> lines;
+    for (; at != 0; at = traces_[at].before) lines.push_back(traces_[at].text);
+    std::ranges::reverse(lines);
+    return lines;
+  }
+
+  World first() {
+    World w;
+    w.now = Time(100s);
+    for (Place p = 0; p < kVoters; ++p) {
+      w.nodes[p].group.emplace(settings_, copies::Shape{p, bounds_.copies}, Group::Durable{},
+                               Group::Start::opened, w.now);
+    }
+    copies::Item item;
+    item.payload =
+        std::make_shared<const copies::Payload>(copies::Payload{kId, "class", "", "body", 1, bounds_.once});
+    item.until = w.now + 3600s;
+    item.attempts.push_back({"host", "zone", kTimeout, w.now, copies::Fate::out});
+    w.nodes[0].group->put(kId, std::move(item));
+    w.nodes[0].group->flush(w.now);
+    collect(w, 0);
+    return w;
+  }
+
+  // What a node has said is on its way, once its disk has what it knows.
+  void collect(World& w, Place p) {
+    Node& n = w.nodes[p];
+    // Its client has its answer as soon as it may have it.
+    w.told = w.told || (p == 0 && n.group->owns() && n.group->held(kId, true) >= bounds_.copies);
+    (void)n.group->take_changed();
+    for (auto& [to, say] : n.group->take()) {
+      w.frames.push_back(std::make_shared<const Frame>(Frame{to, std::move(say)}));
+    }
+    switch (n.group->take_turn()) {
+      case Group::Turn::won:
+        n.inherited = true;
+        w.taken_over = w.taken_over || p != 0;
+        ++result_.takeovers;
+        break;
+      case Group::Turn::lost:
+        n.inherited = false;
+        break;
+      case Group::Turn::none:
+        break;
+    }
+  }
+
+  std::string key(const World& w) const {
+    std::string out;
+    out += static_cast<char>((w.now - Time(100s)) / kTick);
+    for (const Node& n : w.nodes) {
+      out += n.group ? 'r' : n.lost ? 'x' : 'd';
+      out += static_cast<char>(n.called);
+      out += n.inherited ? 'i' : '-';
+      if (n.group) n.group->describe(w.now, out);
+      if (n.disk) describe(*n.disk, w.now, out);
+    }
+    for (const Call& c : w.out) {
+      out += static_cast<char>(c.by);
+      out += static_cast<char>((c.ends - w.now) / (kTick / 5));
+    }
+    out += {'|',
+            static_cast<char>(w.calls),
+            static_cast<char>(w.ran),
+            static_cast<char>(w.crashes),
+            static_cast<char>(w.losses),
+            static_cast<char>(w.questions),
+            static_cast<char>((w.told ? 1 : 0) + (w.over ? 2 : 0) + (w.taken_over ? 4 : 0))};
+    std::set<std::string> frames;  // in whatever order they were said, and how often
+    for (const auto& f : w.frames) frames.insert(describe(*f, w.now));
+    for (const std::string& f : frames) out += f;
+    return out;
+  }
+
+  void describe(const Group::Durable& d, Time now, std::string& out) const {
+    out += static_cast<char>(d.promised);
+    out += static_cast<char>(d.owner);
+    describe(d.items, now, out);
+  }
+
+  void describe(const copies::Items& items, Time now, std::string& out) const {
+    for (const auto& [id, item] : items) {
+      out += {static_cast<char>(item.stamp.epoch), static_cast<char>(item.stamp.revision),
+              static_cast<char>((item.over ? 1 : 0) + (item.payload ? 2 : 0))};
+      for (const copies::Attempt& a : item.attempts) {
+        const Time free = a.known + settings_.lease + a.timeout;
+        out += {static_cast<char>(a.fate), static_cast<char>(free > now ? (free - now) / (kTick / 5) : 0)};
+      }
+    }
+  }
+
+  std::string describe(const Frame& f, Time now) const {
+    const auto age = [&](Time t) {
+      return static_cast<char>(std::min<std::int64_t>((now - t) / (kTick / 5), 100));
+    };
+    std::string out{static_cast<char>(f.say.kind), static_cast<char>(f.say.from), static_cast<char>(f.to),
+                    static_cast<char>(f.say.epoch)};
+    if (f.say.kind == Kind::append)
+      out += static_cast<char>(now < f.say.at + settings_.lease ? age(f.say.at) : 100);
+    if (f.say.kind == Kind::ack)
+      out += static_cast<char>(now < f.say.echo + settings_.lease ? age(f.say.echo) : 100);
+    describe(f.say.items, now, out);
+    return out;
+  }
+
+  // Whether it could still change anything, now or later: what can't need not be remembered.
+  bool matters(const World& w, const Frame& f) const {
+    const Node& to = w.nodes[f.to];
+    if (to.lost) return false;
+    const Group::Durable* d = to.group ? &to.group->durable() : to.disk.get();
+    if (!d) return false;
+    const bool owns = to.group && to.group->owns();
+    switch (f.say.kind) {
+      case Kind::append: {
+        const Node& from = w.nodes[f.say.from];
+        const bool stale = f.say.epoch < d->promised && bounds_.without != copies::Without::fence;
+        return !stale || (from.group && from.group->owns() && from.group->epoch() == f.say.epoch);
+      }
+      case Kind::ack:
+        return owns && d->promised == f.say.epoch;
+      case Kind::ask:
+        return f.say.epoch > d->promised;
+      case Kind::vote:
+        return f.say.epoch > d->promised;
+      case Kind::refuse:
+        return owns && f.say.epoch > d->promised;
+    }
+    return true;
+  }
+
+  // Of one kind on one way the newest is remembered, of what owners say that of each epoch. What an older one
+  // does when it comes late it would have done sooner, with no longer a promise: its acknowledgement renews
+  // no lease, and it brings no more than the newer one.
+  static void keep_newest(World& w) {
+    const auto way = [](const Frame& f) {
+      return std::tuple(f.say.kind, f.say.from, f.to, f.say.kind == Kind::append ? f.say.epoch : 0);
+    };
+    const auto rank = [](const Frame& f) { return std::tuple(f.say.epoch, f.say.echo, f.say.at); };
+    std::vector<std::shared_ptr<const Frame>> kept;
+    for (const auto& f : w.frames) {
+      const auto same = std::ranges::find_if(kept, [&](const auto& k) { return way(*k) == way(*f); });
+      if (same == kept.end()) {
+        kept.push_back(f);
+      } else if (rank(*f) >= rank(**same)) {
+        *same = joined(*f, **same);
+      }
+    }
+    w.frames = std::move(kept);
+  }
+
+  // Acknowledgements add up.
+  static std::shared_ptr<const Frame> joined(Frame newer, const Frame& older) {
+    if (newer.say.kind == Kind::ack && newer.say.epoch == older.say.epoch) {
+      for (const auto& [id, item] : older.say.items) {
+        copies::Item& own = newer.say.items[id];
+        own.stamp = std::max(own.stamp, item.stamp);
+      }
+    }
+    if (newer.say.kind == Kind::append) {  // likewise what is said of items: a connection loses no part of it
+      for (const auto& [id, item] : older.say.items) {
+        const auto [at, added] = newer.say.items.emplace(id, item);
+        if (!added && !at->second.payload && !at->second.over) at->second.payload = item.payload;
+      }
+    }
+    return std::make_shared<const Frame>(std::move(newer));
+  }
+
+  void enqueue(World world, std::size_t before, const std::string& text) {
+    std::erase_if(world.frames, [&](const auto& f) { return !matters(world, *f); });
+    keep_newest(world);
+    const std::string k = key(world);
+    const XXH128_hash_t h = XXH3_128bits(k.data(), k.size());
+    if (!seen_.insert({h.low64, h.high64}).second) return;
+    ++result_.states;
+    traces_.push_back({before, text.empty() ? text : line(world, text)});
+    frontier_.emplace_back(std::move(world), traces_.size() - 1);
+  }
+
+  // ---------------------------------------------------------------------------- what can happen next
+
+  std::vector<Step> steps(const World& w) {
+    std::vector<Step> all;
+    const auto add = [&](std::string text, World next) {
+      Step s{std::move(text), std::move(next), {}};
+      s.broken = trouble(s.world);
+      all.push_back(std::move(s));
+    };
+    for (const auto& frame : w.frames) deliver(w, *frame, add);
+    for (Place p = 0; p < kVoters; ++p) {
+      if (w.nodes[p].group) acts(w, p, add, all);
+      fails(w, p, add);
+    }
+    for (std::size_t c = 0; c < w.out.size(); ++c) ends(w, c, add);
+    if ((w.now - Time(100s)) / kTick < bounds_.ticks) {
+      World next = w;
+      next.now += kTick;
+      std::erase_if(next.out, [&](const Call& c) { return c.ends <= next.now; });
+      add("time passes", std::move(next));
+    }
+    return all;
+  }
+
+  template <typename Add>
+  void deliver(const World& w, const Frame& f, Add& add) {
+    if (!w.nodes[f.to].group) return;
+    World next = w;
+    Group& group = *next.nodes[f.to].group;
+    std::string before, after;
+    group.describe(w.now, before);
+    group.receive(w.now, f.say);
+    collect(next, f.to);
+    group.describe(w.now, after);
+    if (before == after && next.frames.size() == w.frames.size()) return;
+    static const char* const words[] = {"what it owns and holds", "an acknowledgement",
+                                        "a question for its vote", "a vote", "a refusal"};
+    add(std::string(kNames[f.to]) + " hears from " + kNames[f.say.from] + ": " +
+            words[static_cast<int>(f.say.kind)] + " (epoch " + std::to_string(f.say.epoch) + ")",
+        std::move(next));
+  }
+
+  template <typename Add>
+  void acts(const World& w, Place p, Add& add, std::vector<Step>& all) {
+    const Node& n = w.nodes[p];
+    if (n.group->next_wake() <= w.now && (n.group->owns() || w.questions < bounds_.questions)) {
+      World next = w;
+      next.questions += n.group->owns() ? 0 : 1;
+      next.nodes[p].group->wake(w.now);
+      collect(next, p);
+      add(std::string(kNames[p]) + (n.group->owns() ? " asks for its lease again" : " asks for votes"),
+          std::move(next));
+    }
+    const copies::Item* item = n.group->find(kId);
+    if (!n.group->owns() || !item || item->over) return;
+    if (n.inherited) {
+      inherit(w, p, add);
+      return;
+    }
+    const auto attempt = static_cast<unsigned>(item->attempts.size());
+    if (attempt > n.called && n.group->may_call(kId, w.now)) {
+      World next = w;
+      next.nodes[p].called = attempt;
+      ++next.calls;
+      ++next.ran;
+      ++result_.calls;
+      result_.calls_after_takeover += p != 0 ? 1 : 0;
+      std::string broken;
+      if (!w.out.empty()) broken = "two calls of the message are out at once";
+      if (bounds_.once && w.ran > 0) broken = "work that may not be repeated is sent twice";
+      if (next.calls > attempt) broken = "more calls have left than are counted";
+      next.out.push_back({p, w.now + kTimeout});
+      add(std::string(kNames[p]) + " calls the partner, attempt " + std::to_string(attempt), std::move(next));
+      if (!broken.empty()) all.back().broken = broken;
+    }
+    // What was not held elsewhere in time is not sent. Another attempt may be made of what is not out.
+    const bool stale = attempt > n.called && w.now >= item->attempts.back().known + settings_.lease;
+    const bool ended = item->attempts.back().fate != copies::Fate::out;
+    if ((stale || ended) && attempt < bounds_.attempts) {
+      World next = w;
+      Node& node = next.nodes[p];
+      copies::Item changed = *item;
+      if (stale) changed.attempts.back().fate = copies::Fate::never_ran;
+      changed.attempts.push_back({"host", "zone", kTimeout, w.now, copies::Fate::out});
+      node.called = attempt;
+      node.group->put(kId, std::move(changed));
+      node.group->flush(w.now);
+      collect(next, p);
+      add(std::string(kNames[p]) + " means to make another attempt", std::move(next));
+    }
+  }
+
+  // As the relay does with what it is given: what may have run and may not be repeated ends as failed, the
+  // rest is sent again once no call of another can be out.
+  template <typename Add>
+  void inherit(const World& w, Place p, Add& add) {
+    const copies::Item& item = *w.nodes[p].group->find(kId);
+    const bool unknown =
+        std::ranges::any_of(item.attempts, [](const auto& a) { return a.fate != copies::Fate::never_ran; });
+    World next = w;
+    Node& n = next.nodes[p];
+    copies::Item changed = item;
+    for (copies::Attempt& a : changed.attempts) {
+      if (a.fate == copies::Fate::out) a.fate = copies::Fate::may_have_run;
+    }
+    n.inherited = false;
+    n.called = static_cast<unsigned>(item.attempts.size());
+    const bool none_left = item.attempts.size() >= bounds_.attempts;
+    if ((bounds_.once && unknown) || none_left || !item.payload) {
+      changed.over = true;
+      next.over = true;
+      ++result_.ends_unknown;
+      n.group->put(kId, std::move(changed));
+      n.group->flush(w.now);
+      collect(next, p);
+      add(std::string(kNames[p]) + " ends the message as failed", std::move(next));
+      return;
+    }
+    if (n.group->calls_may_be_out() && w.now < n.group->free_at(item)) return;
+    changed.attempts.push_back({"host", "zone", kTimeout, w.now, copies::Fate::out});
+    n.group->put(kId, std::move(changed));
+    n.group->flush(w.now);
+    collect(next, p);
+    add(std::string(kNames[p]) + " means to send it again", std::move(next));
+  }
+
+  template <typename Add>
+  void ends(const World& w, std::size_t c, Add& add) {
+    const Place by = w.out[c].by;
+    const Node& n = w.nodes[by];
+    if (!n.group) return;
+    const copies::Item* item = n.group->find(kId);
+    enum { delivered, failed, turned_away };
+    for (const int how : {delivered, failed, turned_away}) {
+      World next = w;
+      next.out.erase(next.out.begin() + static_cast<std::ptrdiff_t>(c));
+      next.over = next.over || how == delivered;
+      next.ran -= how == turned_away ? 1 : 0;
+      Group& group = *next.nodes[by].group;
+      if (group.owns() && item && !item->over && item->attempts.size() == n.called) {
+        copies::Item changed = *item;
+        changed.attempts.back().fate =
+            how == turned_away ? copies::Fate::never_ran : copies::Fate::may_have_run;
+        const bool again =
+            (how == turned_away || !bounds_.once) && changed.attempts.size() < bounds_.attempts;
+        changed.over = how == delivered || !again;
+        next.over = next.over || changed.over;
+        group.put(kId, std::move(changed));
+        group.flush(w.now);
+        collect(next, by);
+      }
+      static const char* const words[] = {" is delivered", " fails, and may have run", " is turned away"};
+      add(std::string("the call of ") + kNames[by] + words[how], std::move(next));
+    }
+  }
+
+  template <typename Add>
+  void fails(const World& w, Place p, Add& add) {
+    const Node& n = w.nodes[p];
+    if (n.group) {
+      if (w.crashes < bounds_.crashes) {
+        World next = w;
+        Node& node = next.nodes[p];
+        node.disk = std::make_shared<const Group::Durable>(n.group->durable());
+        node.group.reset();
+        node.inherited = false;
+        node.called = 0;
+        ++next.crashes;
+        std::erase_if(next.out, [&](const Call& c) { return c.by == p; });  // its connections end with it
+        add(std::string("the process of ") + kNames[p] + " is killed", std::move(next));
+      }
+      if (w.losses < bounds_.losses) {
+        World next = w;
+        Node& node = next.nodes[p];
+        node = {};
+        node.lost = true;
+        ++next.losses;
+        add(std::string("the machine of ") + kNames[p] + " is lost", std::move(next));
+      }
+      return;
+    }
+    if (n.lost) {  // one that comes back with an empty folder knows of no group: it neither votes nor
+                   // acknowledges
+      if (bounds_.without != copies::Without::amnesia || p == 0) return;
+      World next = w;
+      Node& node = next.nodes[p];
+      node = {};
+      node.group.emplace(settings_, copies::Shape{p, bounds_.copies}, Group::Durable{}, Group::Start::opened,
+                         w.now);
+      add(std::string(kNames[p]) + " is back with an empty folder", std::move(next));
+      return;
+    }
+    World next = w;
+    Node& node = next.nodes[p];
+    node.group.emplace(settings_, copies::Shape{p, bounds_.copies}, *n.disk, Group::Start::restarted, w.now);
+    node.disk = nullptr;
+    add(std::string(kNames[p]) + " is started again with its folder", std::move(next));
+  }
+
+  std::string trouble(const World& w) const {
+    int leaders = 0;
+    bool live = false, ended = false;
+    for (const Node& n : w.nodes) {
+      leaders += n.group && n.group->leads(w.now) ? 1 : 0;
+      const copies::Items* items = n.group ? &n.group->items() : n.disk ? &n.disk->items : nullptr;
+      const auto found = items ? items->find(kId) : copies::Items::const_iterator{};
+      if (!items || found == items->end()) continue;
+      live = live || (!found->second.over && found->second.payload);
+      ended = ended || found->second.over;
+    }
+    if (leaders > 1) return "two may act at once";
+    if (w.told && !w.over && !live && !ended && w.losses <= bounds_.copies)
+      return "a message that was taken on is held by nobody";
+    return "";
+  }
+
+  struct Hash {
+    std::size_t operator()(const std::pair<std::uint64_t, std::uint64_t>& k) const { return k.first; }
+  };
+  struct Set {
+    std::unordered_map<std::uint64_t, std::uint64_t> seen;
+    std::pair<int, bool> insert(std::pair<std::uint64_t, std::uint64_t> k) {
+      return {0, seen.emplace(k.first, k.second).second};
+    }
+  };
+
+  const OwnershipBounds& bounds_;
+  copies::Settings settings_;
+  OwnershipResult result_;
+  std::deque<std::pair<World, std::size_t>> frontier_;
+  std::vector<Trace> traces_{};
+  Set seen_;
+};
+
+}  // namespace
+
+OwnershipResult explore(const OwnershipBounds& bounds) { return Explorer(bounds).run(); }
+
+}  // namespace valedrum::lab
--- a/lab/tool.h
+++ b/lab/tool.h
@@ -42,5 +42,6 @@
 void add_search(CLI::App& app, int& status);
 void add_drive(CLI::App& app, int& status);
 void add_fleet(CLI::App& app, int& status);
+void add_copies(CLI::App& app, int& status);
 
 }  // namespace valedrum::lab
