--- /dev/null
+++ b/copies/codec.h
@@ -0,0 +1,87 @@
+// The form in which copies travel and lie on disk. Version 1.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "bytes.h"
+#include "copies/group.h"
+
+namespace valedrum::copies {
+
+constexpr std::uint8_t kFormat = 1;  // of frames and of the file
+
+// Which group: numbers are drawn, and never used again.
+struct GroupId {
+  std::string origin;
+  std::uint64_t number = 0;
+  auto operator<=>(const GroupId&) const = default;
+};
+
+// One that belongs to a group. `life` is drawn with its folder: who has lost that is another one.
+struct Seat {
+  std::string name;
+  std::uint64_t life = 0;
+  membership::Address address;
+  auto operator<=>(const Seat&) const = default;
+};
+
+struct Head {
+  unsigned copies = 1;  // of the two others, how many have the messages' bodies
+  std::array<Seat, kVoters> seats;
+};
+
+// What is said in one group. With the head as long as the other may not know the group.
+struct Word {
+  GroupId group;
+  std::optional<Head> head;
+  Say say;
+};
+
+struct Frame {
+  std::vector<Word> words;
+  bool no_room = false;  // the sender takes no more bodies for the time being
+};
+
+std::string encode(const Frame& frame);
+// None: damaged, or of a later version.
+std::optional<Frame> decode_frame(std::string_view bytes);
+
+// What a member says of itself in the view: where its copies go to, and how much room it has, in eighths.
+struct Published {
+  membership::Address address;
+  std::uint64_t life = 0;
+  std::uint8_t room = 0;
+};
+std::string encode(const Published& published);
+std::optional<Published> decode_published(std::string_view bytes);
+
+// Records of the file. Times in it are the day's, by `wall`: what that clock shows at the member's own
+// Time{}.
+enum class RecordKind : std::uint8_t { format = 1, group, promise, item, forget_item, drop };
+std::string record_of_format(std::uint64_t life, std::string_view member);
+std::string record_of(const GroupId& id, const Head& head, Place self);
+std::string record_of(const GroupId& id, std::uint64_t promised, Place owner);
+std::string record_of(const GroupId& id, const std::string& item_id, const Item& item, Duration wall);
+std::string record_of_forgotten(const GroupId& id, const std::string& item_id);
+std::string record_of_dropped(const GroupId& id);
+
+struct Stored {
+  struct Entry {
+    Head head;
+    Place self = 0;
+    Group::Durable durable;
+  };
+  std::uint64_t life = 0;
+  std::string member;
+  std::map<GroupId, Entry> groups;
+  std::size_t bytes = 0;  // that could be read: what follows is torn
+  bool later = false;     // written by a later program
+  bool damaged = false;   // not torn off, for there is more: what it had promised can't be known
+};
+Stored read_stored(std::string_view file, Duration wall);
+
+}  // namespace valedrum::copies
--- /dev/null
+++ b/copies/copies.cpp
@@ -0,0 +1,553 @@
+#include "copies/copies.h"
+
+#include <algorithm>
+#include <cmath>
+#include <stdexcept>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace valedrum::copies {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kLook = 100ms;     // between sweeps over what is held
+constexpr Duration kRestLook = 10s;   // where nothing is
+constexpr Duration kRemembered = 2s;  // beyond its time: one that comes again under a known id is known
+constexpr unsigned kMostSpread = 64;
+constexpr std::uint64_t kUnknownGroup = 0;  // epoch of a refusal by one that does not know the group
+
+std::size_t size_of(const Item& item) {
+  return item.payload ? item.payload->body.size() + item.payload->key.size() + item.payload->id.size() : 0;
+}
+
+}  // namespace
+
+void check(const CopiesSettings& s) {
+  const auto want = [](bool holds, const char* what) {
+    if (!holds) throw std::invalid_argument(what);
+  };
+  want(s.copies >= 1 && s.copies < kVoters, "copies: must be 1 or 2");
+  want(s.spread >= 1 && s.spread <= kMostSpread, "spread: must be 1 to 64");
+  want(s.lease >= 100ms && s.lease <= 1min, "lease_ms: must be 100 to 60000");
+  want(s.answer_within >= 10ms && s.answer_within <= 10s, "answer_ms: must be 10 to 10000");
+  want(s.budget >= 64U << 10, "budget_kb: must be 64 at least");
+}
+
+Copies::Copies(CopiesSettings settings, Self self, Stored stored, std::uint64_t seed, Time now)
+    : settings_(std::move(settings)), self_(std::move(self)), engine_(seed), current_(settings_.spread) {
+  check(settings_);
+  self_.seat.life = stored.life;
+  while (self_.seat.life == 0) self_.seat.life = engine_();
+  for (auto& [id, entry] : stored.groups) {
+    Group group(settings_, {entry.self, entry.head.copies}, std::move(entry.durable), Group::Start::restarted,
+                now);
+    const auto at =
+        groups_.emplace(id, Held{entry.head, std::move(group), now, now, true, {}, {}, {}, {}}).first;
+    for (const auto& [item_id, item] : at->second.group.items()) {
+      where_.insert_or_assign(item_id, id);
+      if (entry.self != 0) held_bytes_ += size_of(item);
+    }
+  }
+}
+
+// -------------------------------------------------------------------------------------------- the view
+
+void Copies::candidates(Time, std::vector<Candidate> candidates) {
+  candidates_ = std::move(candidates);
+  for (const auto& id : current_) {
+    const auto at = id ? groups_.find(*id) : groups_.end();
+    if (at == groups_.end()) continue;
+    for (Place p = 1; p < kVoters; ++p) {
+      const Seat& seat = at->second.head.seats[p];
+      const auto there = [&](const Candidate& c) {
+        return c.seat.name == seat.name && c.seat.life == seat.life;
+      };
+      if (std::ranges::none_of(candidates_, there)) at->second.sealed = true;
+    }
+  }
+}
+
+std::uint8_t Copies::room() const {
+  const std::size_t free = settings_.budget - std::min(held_bytes_, settings_.budget);
+  return static_cast<std::uint8_t>(free * 8 / settings_.budget);
+}
+
+bool Copies::avoided(Time now, const std::string& name) const {
+  const auto found = avoided_.find(name);
+  return found != avoided_.end() && now < found->second;
+}
+
+void Copies::avoid(Time now, const std::string& name) {
+  avoided_[name] = now + settings_.avoid_for;
+  for (auto& [id, held] : groups_) held.sealed = held.sealed || place_of(held.head, name) < kVoters;
+}
+
+// Weighted rendezvous: each candidate has its own draw for this origin and shard, so that one more or less
+// moves what it takes over or had, and no more.
+std::vector<const Candidate*> Copies::choose(Time now, unsigned shard) const {
+  std::vector<std::pair<double, const Candidate*>> ranked;
+  for (const Candidate& c : candidates_) {
+    if (c.machine == self_.machine || c.room == 0 || avoided(now, c.seat.name)) continue;
+    const std::string text = self_.seat.name + '\0' + std::to_string(shard) + '\0' + c.seat.name;
+    const double draw = (static_cast<double>(XXH3_64bits(text.data(), text.size()) >> 11) + 0.5) * 0x1p-53;
+    ranked.emplace_back(-static_cast<double>(c.room) / std::log(draw), &c);
+  }
+  std::ranges::sort(ranked, std::greater<>());
+  std::vector<const Candidate*> chosen;
+  const auto add = [&](auto&& fits) {
+    const auto found = std::ranges::find_if(ranked, [&](const auto& r) { return fits(*r.second); });
+    if (found != ranked.end()) chosen.push_back(found->second);
+    return found != ranked.end();
+  };
+  if (!add([&](const Candidate& c) { return !settings_.other_zone || c.zone != self_.zone; })) return {};
+  const std::string& taken = chosen.front()->machine;
+  if (!add([&](const Candidate& c) { return c.machine != taken; })) return {};
+  return chosen;
+}
+
+Copies::Groups::iterator Copies::open(Time now, unsigned shard) {
+  const auto chosen = choose(now, shard);
+  if (chosen.empty()) return groups_.end();
+  const GroupId id{self_.seat.name, engine_()};
+  Head head;
+  head.copies = settings_.copies;
+  head.seats[0] = self_.seat;
+  for (Place p = 1; p < kVoters; ++p) head.seats[p] = chosen[p - 1U]->seat;
+  Group group(settings_, {0, head.copies}, {}, Group::Start::opened, now);
+  const auto at = groups_.emplace(id, Held{head, std::move(group), now, now, false, {}, {}, {}, {}}).first;
+  current_[shard] = id;
+  records_.push_back({id, ToRecord::What::group, {}});
+  ++counters_.groups;
+  return at;
+}
+
+// ------------------------------------------------------------------------------- what the relay holds
+
+std::uint64_t Copies::shard_of(const std::string& id) const {
+  return XXH3_64bits(id.data(), id.size()) % settings_.spread;
+}
+
+Copies::Taken Copies::take(Time now, const std::string& id, Item item) {
+  if (where_.contains(id)) return Taken::refused;
+  const auto shard = static_cast<unsigned>(shard_of(id));
+  auto at = current_[shard] ? groups_.find(*current_[shard]) : groups_.end();
+  const bool usable = at != groups_.end() && !at->second.sealed && at->second.group.owns();
+  if (!usable) at = open(now, shard);
+  const bool full = own_bytes_ + size_of(item) > settings_.budget;
+  if (at == groups_.end() || full) {
+    const bool refuse = settings_.on_shortage == Shortage::refuse;
+    ++(refuse ? counters_.refused : counters_.unplaced);
+    return refuse ? Taken::refused : Taken::alone;
+  }
+  own_bytes_ += size_of(item);
+  at->second.group.put(id, std::move(item));
+  where_.emplace(id, at->first);
+  ++counters_.placed;
+  look_at_ = std::min(look_at_, now + kLook);
+  return Taken::placed;
+}
+
+Copies::Held* Copies::find(const std::string& id) {
+  const auto found = where_.find(id);
+  return found == where_.end() ? nullptr : &groups_.at(found->second);
+}
+const Copies::Held* Copies::find(const std::string& id) const { return const_cast<Copies*>(this)->find(id); }
+
+const Item* Copies::look(const std::string& id) const {
+  const Held* held = find(id);
+  return held ? held->group.find(id) : nullptr;
+}
+
+template <typename Change>
+void Copies::change(Time, const std::string& id, Change&& how) {
+  Held* held = find(id);
+  const Item* item = held && held->group.owns() ? held->group.find(id) : nullptr;
+  if (!item) return;
+  Item changed = *item;
+  if (how(changed)) held->group.put(id, std::move(changed));
+}
+
+void Copies::attempt(Time now, const std::string& id, Attempt attempt) {
+  attempt.known = now;
+  change(now, id, [&](Item& item) {
+    item.attempts.push_back(std::move(attempt));
+    return true;
+  });
+}
+
+void Copies::fate(Time now, const std::string& id, std::size_t number, Fate fate) {
+  change(now, id, [&](Item& item) {
+    if (number >= item.attempts.size() || item.attempts[number].fate == fate) return false;
+    item.attempts[number].fate = fate;
+    return true;
+  });
+}
+
+void Copies::owe(Time now, const std::string& id, Owed owed) {
+  change(now, id, [&](Item& item) {
+    item.over = true;
+    item.owed = owed;
+    return true;
+  });
+}
+
+void Copies::over(Time now, const std::string& id) {
+  change(now, id, [](Item& item) {
+    const bool changes = item.live();
+    item.over = true;
+    item.owed.reset();
+    return changes;
+  });
+}
+
+bool Copies::may_call(Time now, const std::string& id) const {
+  const Held* held = find(id);
+  return !held || held->group.may_call(id, now);
+}
+
+bool Copies::is_own(const std::string& id) const {
+  const Held* held = find(id);
+  return !held || held->group.owns();
+}
+
+// --------------------------------------------------------------------------------------------- tickets
+
+std::uint64_t Copies::await(Time now, std::vector<std::string> ids, Need need) {
+  Time until = now + settings_.answer_within;
+  if (need == Need::tell) {
+    for (const std::string& id : ids) {
+      const Held* held = find(id);
+      const Item* item = held ? held->group.find(id) : nullptr;
+      if (item) until = std::max(until, item->until);
+    }
+  }
+  tickets_.push_back({++last_ticket_, std::move(ids), need, until});
+  return last_ticket_;
+}
+
+Copies::Answer Copies::answer(Time now, const Ticket& ticket) {
+  for (const std::string& id : ticket.ids) {
+    const Held* held = find(id);
+    const Item* item = held ? held->group.find(id) : nullptr;
+    if (!item || (item->over && ticket.need != Need::tell)) continue;  // the relay knows by itself
+    if (!held->group.owns()) return Answer::bad;
+    if (ticket.need == Need::promise) {
+      if (held->group.held(id, true) >= held->head.copies) continue;
+      for (Place p = 1; p <= held->head.copies; ++p) {
+        if (!held->group.has_newest(p, id) && avoided(now, held->head.seats[p].name)) return Answer::bad;
+      }
+      return Answer::wait;
+    }
+    const bool known = held->group.leads(now) && held->group.held(id, false) > 0;
+    if (ticket.need == Need::tell ? !known : !held->group.may_call(id, now)) return Answer::wait;
+  }
+  return Answer::good;
+}
+
+// Whoever has not answered is left out for a while: messages that come now must not wait for it too.
+void Copies::late(Time now, const Ticket& ticket) {
+  ++counters_.late;
+  for (const std::string& id : ticket.ids) {
+    const Held* held = find(id);
+    if (!held || !held->group.owns()) continue;
+    const Head head = held->head;
+    for (Place p = 0; p < kVoters; ++p) {
+      if (p != held->group.shape().self && !held->group.has_newest(p, id)) avoid(now, head.seats[p].name);
+    }
+  }
+}
+
+void Copies::judge_tickets(Time now) {
+  std::vector<Ticket> left;
+  for (Ticket& t : tickets_) {
+    Answer a = answer(now, t);
+    if (a == Answer::wait && now >= t.until) {
+      if (t.need != Need::tell) late(now, t);
+      a = Answer::bad;
+    }
+    if (a == Answer::bad && t.need == Need::promise && settings_.on_shortage == Shortage::accept) {
+      const bool own = std::ranges::all_of(t.ids, [&](const std::string& id) { return is_own(id); });
+      if (own) {
+        counters_.short_of += t.ids.size();
+        a = Answer::good;
+      }
+    }
+    if (a == Answer::wait) {
+      left.push_back(std::move(t));
+      continue;
+    }
+    if (a == Answer::bad && t.need == Need::promise) counters_.refused += t.ids.size();
+    events_.emplace_back(Done{t.number, a == Answer::good});
+  }
+  tickets_ = std::move(left);
+}
+
+// ------------------------------------------------------------------------------------ what others say
+
+Place Copies::place_of(const Head& head, std::string_view name) const {
+  const auto found = std::ranges::find(head.seats, name, &Seat::name);
+  return static_cast<Place>(found - head.seats.begin());
+}
+
+void Copies::receive(Time now, const std::string& from, const Frame& frame) {
+  if (frame.no_room) avoid(now, from);
+  for (const Word& word : frame.words) receive(now, from, word);
+  judge_tickets(now);
+}
+
+void Copies::receive(Time now, const std::string& from, const Word& word) {
+  auto at = groups_.find(word.group);
+  const bool unknown = at == groups_.end();
+  if (unknown) {
+    // Only one that has never known it, and is not the origin, may begin to: another life may have promised
+    // what this one can't know.
+    const Place self = word.head ? place_of(*word.head, self_.seat.name) : kVoters;
+    const bool mine = self > 0 && self < kVoters && word.head->seats[self].life == self_.seat.life &&
+                      place_of(*word.head, from) < kVoters;
+    if (word.say.kind == Kind::append && mine) {
+      Group group(settings_, {self, word.head->copies}, {}, Group::Start::opened, now);
+      at = groups_.emplace(word.group, Held{*word.head, std::move(group), now, now, true, {}, {}, {}, {}})
+               .first;
+      records_.push_back({word.group, ToRecord::What::group, {}});
+      look_at_ = std::min(look_at_, now + kLook);
+    } else if (word.say.kind == Kind::append || word.say.kind == Kind::ask) {
+      Say refusal;
+      refusal.kind = Kind::refuse;
+      refusal.epoch = kUnknownGroup;
+      refusal.at = now;
+      auto& [seat, words] = words_[from];
+      seat.name = from;
+      words.push_back({word.group, std::nullopt, std::move(refusal)});
+      return;
+    } else {
+      return;
+    }
+  }
+  Held& held = at->second;
+  Say say = word.say;
+  say.from = place_of(held.head, from);
+  if (say.from >= kVoters || say.from == held.group.shape().self) {
+    ++counters_.foreign;
+    return;
+  }
+  held.heard = now;
+  if (say.kind == Kind::refuse && say.epoch == kUnknownGroup) {
+    held.useless[say.from] = held.sealed = true;
+    return;
+  }
+  held.knows[say.from] = say.kind != Kind::ask;
+  if (say.kind == Kind::append) {
+    std::erase_if(say.items, [&](const auto& entry) {
+      if (!entry.second.payload || held.group.find(entry.first)) return false;
+      const std::size_t size = size_of(entry.second);
+      const bool full = held_bytes_ + size > settings_.budget;
+      if (full) {
+        no_room_ = true;
+        ++counters_.no_room;
+      } else {
+        held_bytes_ += size;
+      }
+      return full;
+    });
+  }
+  held.group.receive(now, say);
+  settle(now, at);
+}
+
+void Copies::connected(Time now, const std::string& name) {
+  for (auto at = groups_.begin(); at != groups_.end(); ++at) {
+    const Place p = place_of(at->second.head, name);
+    if (p >= kVoters || p == at->second.group.shape().self) continue;
+    at->second.group.reconnected(p);
+    at->second.group.flush(now);
+    settle(now, at);
+  }
+}
+
+// --------------------------------------------------------------------------------------------- turns
+
+void Copies::hand_out(Time, Groups::iterator at, const std::string& id) {
+  const Item& item = *at->second.group.find(id);
+  if (item.owed) {
+    events_.emplace_back(Expired{id, *item.owed});
+    return;
+  }
+  ++counters_.inherited;
+  events_.emplace_back(Inherited{id, item});
+}
+
+void Copies::settle(Time now, Groups::iterator at) {
+  Held& held = at->second;
+  Group& group = held.group;
+  const Group::Turn turn = group.take_turn();
+  const Group::Changed changed = group.take_changed();
+  if (changed.promise) records_.push_back({at->first, ToRecord::What::promise, {}});
+  for (const std::string& id : changed.items) {
+    records_.push_back({at->first, ToRecord::What::item, id});
+    const Item* item = group.find(id);
+    if (!item) {
+      where_.erase(id);
+      held.expired.erase(id);
+      held.waiting.erase(id);
+      continue;
+    }
+    where_.emplace(id, at->first);
+    if (!group.owns() && !item->live()) events_.emplace_back(Ended{id});
+  }
+  if (turn == Group::Turn::lost) {
+    ++counters_.lost;
+    events_.emplace_back(Noted{"another may act on the messages of " + at->first.origin +
+                               " from now on, epoch " + std::to_string(group.epoch()) + ", " +
+                               std::to_string(group.live_count()) + " without an end"});
+    held.sealed = true;
+    held.waiting.clear();
+    for (const auto& [id, item] : group.items()) events_.emplace_back(Lost{id});
+  }
+  if (turn == Group::Turn::won) {
+    ++counters_.won;
+    events_.emplace_back(Noted{"acts on the messages of " + at->first.origin + " from now on, epoch " +
+                               std::to_string(group.epoch()) + ", " + std::to_string(group.live_count()) +
+                               " without an end"});
+    for (const auto& [id, item] : group.items()) {
+      if (!item.live()) continue;
+      const bool waits = !item.owed && item.payload && !item.payload->once && group.calls_may_be_out() &&
+                         group.free_at(item) > now;
+      if (waits) {
+        held.waiting.insert(id);
+      } else {
+        hand_out(now, at, id);
+      }
+    }
+  }
+  for (auto& [to, say] : group.take()) {
+    if (held.useless[to]) continue;
+    const Seat& seat = held.head.seats[to];
+    auto& [known, words] = words_[seat.name];
+    known = seat;
+    const bool tell_head = say.kind == Kind::append && !held.knows[to];
+    words.push_back({at->first, tell_head ? std::optional(held.head) : std::nullopt, std::move(say)});
+  }
+}
+
+void Copies::look_at(Time now, Groups::iterator at) {
+  Held& held = at->second;
+  for (const auto& [id, item] : held.group.items()) {
+    if (!item.live() || now < item.until + settings_.notice_after || !held.expired.insert(id).second)
+      continue;
+    held.waiting.erase(id);
+    ++counters_.expired;
+    events_.emplace_back(Expired{id, item.owed.value_or(Owed{})});
+  }
+  std::erase_if(held.waiting, [&](const std::string& id) {
+    const Item* item = held.group.find(id);
+    if (item && held.group.free_at(*item) > now) return false;
+    if (item && item->live()) hand_out(now, at, id);
+    return true;
+  });
+  held.group.prune(now, kRemembered);
+  settle(now, at);
+  held.sealed = held.sealed || now > held.opened + settings_.group_for;
+}
+
+void Copies::wake(Time now) {
+  for (auto at = groups_.begin(); at != groups_.end(); ++at) {
+    if (at->second.group.next_wake() > now) continue;
+    at->second.group.wake(now);
+    settle(now, at);
+  }
+  if (now >= look_at_) {
+    bool any = false;
+    held_bytes_ = own_bytes_ = 0;
+    for (auto at = groups_.begin(); at != groups_.end();) {
+      look_at(now, at);
+      const Held& held = at->second;
+      const bool own = held.group.shape().self == 0;
+      for (const auto& [id, item] : held.group.items()) (own ? own_bytes_ : held_bytes_) += size_of(item);
+      any = any || !held.group.items().empty();
+      const bool ended = own ? held.sealed : now > held.heard + 2 * settings_.group_for;
+      if (!ended || !held.group.items().empty()) {
+        ++at;
+        continue;
+      }
+      records_.push_back({at->first, ToRecord::What::drop, {}});
+      at = groups_.erase(at);
+    }
+    std::erase_if(avoided_, [&](const auto& a) { return a.second <= now; });
+    look_at_ = now + (any ? kLook : kRestLook);
+  }
+  judge_tickets(now);
+}
+
+Time Copies::next_wake() const {
+  Time next = groups_.empty() ? Time::max() : look_at_;
+  for (const auto& [id, held] : groups_) next = std::min(next, held.group.next_wake());
+  for (const Ticket& t : tickets_) next = std::min(next, t.until);
+  return next;
+}
+
+void Copies::flush(Time now) {
+  for (auto at = groups_.begin(); at != groups_.end(); ++at) {
+    at->second.group.flush(now);
+    settle(now, at);
+  }
+  judge_tickets(now);
+}
+
+std::vector<Copies::ToSend> Copies::take_frames() {
+  std::vector<ToSend> all;
+  for (auto& [name, entry] : words_) {
+    const bool asks = std::ranges::any_of(
+        entry.second, [](const Word& w) { return w.say.kind == Kind::append || w.say.kind == Kind::ask; });
+    all.push_back({entry.first, encode(Frame{std::move(entry.second), no_room_}), asks});
+  }
+  words_.clear();
+  no_room_ = false;
+  return all;
+}
+
+// As things are by now: what has changed twice is written once.
+std::string Copies::take_records(Duration wall) {
+  std::string all;
+  std::set<std::pair<GroupId, std::string>> written;
+  for (const ToRecord& r : std::exchange(records_, {})) {
+    const auto at = groups_.find(r.group);
+    if (r.what == ToRecord::What::drop) {
+      all += record_of_dropped(r.group);
+    } else if (at == groups_.end()) {
+      continue;
+    } else if (r.what == ToRecord::What::group) {
+      all += record_of(r.group, at->second.head, at->second.group.shape().self);
+    } else if (r.what == ToRecord::What::promise) {
+      const Group::Durable& d = at->second.group.durable();
+      all += record_of(r.group, d.promised, d.owner);
+    } else if (written.emplace(r.group, r.item).second) {
+      const Item* item = at->second.group.find(r.item);
+      all += item ? record_of(r.group, r.item, *item, wall) : record_of_forgotten(r.group, r.item);
+    }
+  }
+  return all;
+}
+
+std::string Copies::snapshot(Duration wall) const {
+  std::string all = record_of_format(self_.seat.life, self_.seat.name);
+  for (const auto& [id, held] : groups_) {
+    const Group::Durable& d = held.group.durable();
+    all += record_of(id, held.head, held.group.shape().self) + record_of(id, d.promised, d.owner);
+    for (const auto& [item_id, item] : d.items) all += record_of(id, item_id, item, wall);
+  }
+  return all;
+}
+
+std::vector<Copies::GroupState> Copies::groups(Time now) const {
+  std::vector<GroupState> all;
+  for (const auto& [id, held] : groups_) {
+    const Group& g = held.group;
+    all.push_back({id, held.head, g.shape().self, g.durable().owner, g.epoch(), g.live_count(), g.owns(),
+                   g.leads(now), held.sealed});
+  }
+  return all;
+}
+
+}  // namespace valedrum::copies
--- /dev/null
+++ b/copies/copies.h
@@ -0,0 +1,223 @@
+// The copies that one relay makes of what it holds, and keeps of what others do: which groups there are, who
+// is in them, and what has to be known elsewhere before something may be said or done. A state machine around
+// the groups: time, draws, what the relay does and what others say go in; frames, records for the disk and
+// events come out.
+//
+// Messages are spread over some groups at once, each with two other members on machines of their own, so that
+// one loss does not fall on one heir. A group keeps its members; where one is gone or slow, another group is
+// opened for what comes from then on, and the old one ends with its messages, which live for seconds.
+//
+// - A message is promised to its client once its body is with `copies` others; a call leaves, and a notice is
+// told,
+//   once what it does is known to one other.
+// - What has its time behind it and no end that this member knows of is ended by a notice of each that holds
+// it: that
+//   does no harm to a message that is over, and needs no ownership. So nothing promised is left without an
+//   end as long as one that holds it lives, in a minority too.
+#pragma once
+
+#include <functional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "copies/codec.h"
+
+namespace valedrum::copies {
+
+enum class Shortage : std::uint8_t {
+  refuse,  // what too few others hold is not taken
+  accept,  // it is, and counted
+};
+
+struct CopiesSettings : Settings {
+  unsigned copies = 1;      // 1 or 2
+  unsigned spread = 4;      // groups at once
+  bool other_zone = false;  // the first copy is in another zone
+  Shortage on_shortage = Shortage::refuse;
+  Duration answer_within = std::chrono::milliseconds(200);  // for a client that waits: less than its patience
+  Duration avoid_for = std::chrono::seconds(5);             // one that did not answer or had no room
+  Duration group_for = std::chrono::minutes(5);             // then another one is opened in its place
+  Duration notice_after = std::chrono::milliseconds(100);   // a message's time, by those that do not own it
+  std::size_t budget = 1 << 20;  // bytes of bodies held for others; as many of its own
+};
+// Throws std::invalid_argument whose text begins with the field at fault.
+void check(const CopiesSettings& settings);
+
+// Another relay of the view that may hold copies.
+struct Candidate {
+  Seat seat;
+  std::string machine, zone;
+  unsigned room = 8;  // eighths
+};
+
+struct Self {
+  Seat seat;
+  std::string machine, zone;
+};
+
+// What the relay has to do, in order.
+struct Done {  // what a ticket waited for
+  std::uint64_t ticket = 0;
+  bool good = false;
+};
+struct Inherited {  // to be brought to its end here; without a body it can only be given up
+  std::string id;
+  Item item;
+};
+struct Lost {  // another may act on it now: nothing more is sent, answered or told for it here
+  std::string id;
+};
+struct Ended {  // elsewhere
+  std::string id;
+};
+struct Expired {  // nobody who could be heard has ended it: its notice is due
+  std::string id;
+  Owed notice;
+};
+struct Noted {  // for the log
+  std::string line;
+};
+using CopyEvent = std::variant<Done, Inherited, Lost, Ended, Expired, Noted>;
+
+struct CopyCounters {
+  std::uint64_t placed = 0, short_of = 0, unplaced = 0;  // messages: to groups; taken with fewer; with none
+  std::uint64_t refused = 0;                             // for want of holders
+  std::uint64_t groups = 0, won = 0, lost = 0;           // opened; ownerships
+  std::uint64_t inherited = 0, expired = 0;              // messages
+  std::uint64_t late = 0, no_room = 0, foreign = 0;  // tickets that ran out; bodies not taken; words dropped
+};
+
+class Copies {
+ public:
+  // With what an earlier process of the same folder kept. Throws std::invalid_argument.
+  Copies(CopiesSettings settings, Self self, Stored stored, std::uint64_t seed, Time now);
+
+  // ------------------------------------------------------------------ the view
+  void candidates(Time now, std::vector<Candidate> candidates);
+  std::uint8_t room() const;  // eighths of the budget that are free
+
+  // ------------------------------------------------------------------ what the relay holds
+  enum class Taken : std::uint8_t { placed, alone, refused };
+  Taken take(Time now, const std::string& id, Item item);
+  void attempt(Time now, const std::string& id, Attempt attempt);
+  void fate(Time now, const std::string& id, std::size_t attempt, Fate fate);
+  void owe(Time now, const std::string& id, Owed owed);
+  void over(Time now, const std::string& id);
+
+  enum class Need : std::uint8_t {
+    promise,  // the bodies are with as many as the settings ask for
+    act,      // the newest state is known to another one, and this one leads
+    tell,     // as act, for a notice: it waits for as long as the message has time
+  };
+  // A Done event follows, not before the caller has returned to take_events().
+  std::uint64_t await(Time now, std::vector<std::string> ids, Need need);
+  // Whether the last attempt of this message may leave now. Also of those that are not copied.
+  bool may_call(Time now, const std::string& id) const;
+  // What is known of it here, as owner or for somebody, until some time after its deadline. None: nothing.
+  const Item* look(const std::string& id) const;
+  // Whether this relay may act on it: also where nobody else knows of it.
+  bool is_own(const std::string& id) const;
+
+  // ------------------------------------------------------------------ what others say
+  void receive(Time now, const std::string& from, const Frame& frame);
+  // A connection to it has come up; what was not acknowledged before goes out again.
+  void connected(Time now, const std::string& name);
+
+  void wake(Time now);
+  Time next_wake() const;
+  // At the end of a turn: what has changed goes out.
+  void flush(Time now);
+
+  struct ToSend {
+    Seat to;
+    std::string frame;
+    bool asks = false;  // an answer is due
+  };
+  // First the records have to be on disk.
+  std::string take_records(Duration wall);
+  std::vector<ToSend> take_frames();
+  std::vector<CopyEvent> take_events() { return std::exchange(events_, {}); }
+  // All that matters, for a file that is written anew.
+  std::string snapshot(Duration wall) const;
+
+  const CopyCounters& counters() const { return counters_; }
+  struct GroupState {
+    GroupId id;
+    Head head;
+    Place self = 0, owner = 0;
+    std::uint64_t epoch = 0;
+    std::size_t live = 0;
+    bool owns = false, leads = false, sealed = false;
+  };
+  std::vector<GroupState> groups(Time now) const;
+  std::size_t bytes_held() const { return held_bytes_; }
+  std::uint64_t life() const { return self_.seat.life; }
+
+ private:
+  struct Held {
+    Head head;
+    Group group;
+    Time opened{}, heard{};
+    bool sealed = false;                         // takes no more messages
+    std::array<bool, kVoters> knows{};           // has answered in it
+    std::array<bool, kVoters> useless{};         // does not know it any more
+    std::set<std::string> waiting;               // inherited, but a call may be out still
+    std::set<std::string, std::less<>> expired;  // their notice is told
+  };
+  using Groups = std::map<GroupId, Held>;
+  struct Ticket {
+    std::uint64_t number = 0;
+    std::vector<std::string> ids;
+    Need need = Need::act;
+    Time until{};
+  };
+
+  Groups::iterator open(Time now, unsigned shard);
+  std::vector<const Candidate*> choose(Time now, unsigned shard) const;
+  Held* find(const std::string& id);
+  const Held* find(const std::string& id) const;
+  template <typename Change>
+  void change(Time now, const std::string& id, Change&& how);
+  void settle(Time now, Groups::iterator at);  // after anything that a group has heard or done
+  void look_at(Time now, Groups::iterator at);
+  void hand_out(Time now, Groups::iterator at, const std::string& id);
+  enum class Answer : std::uint8_t { wait, good, bad };
+  Answer answer(Time now, const Ticket& ticket);
+  void judge_tickets(Time now);
+  void late(Time now, const Ticket& ticket);
+  void avoid(Time now, const std::string& name);
+  bool avoided(Time now, const std::string& name) const;
+  void receive(Time now, const std::string& from, const Word& word);
+  Place place_of(const Head& head, std::string_view name) const;
+  std::uint64_t shard_of(const std::string& id) const;
+
+  CopiesSettings settings_;
+  Self self_;
+  std::mt19937_64 engine_;
+  std::vector<Candidate> candidates_;
+  std::map<std::string, Time, std::less<>> avoided_;
+  Groups groups_;
+  std::vector<std::optional<GroupId>> current_;  // by shard
+  std::map<std::string, GroupId, std::less<>> where_;
+  std::vector<Ticket> tickets_;
+  std::uint64_t last_ticket_ = 0;
+  Time look_at_{};  // next sweep over what is held
+  std::size_t held_bytes_ = 0, own_bytes_ = 0;
+  bool no_room_ = false;  // said with the frames of this turn
+
+  std::map<std::string, std::pair<Seat, std::vector<Word>>> words_;  // to be sent, by name
+  struct ToRecord {
+    GroupId group;
+    enum class What : std::uint8_t { group, promise, item, drop } what{};
+    std::string item;
+  };
+  std::vector<ToRecord> records_;
+  std::vector<CopyEvent> events_;
+  CopyCounters counters_;
+};
+
+}  // namespace valedrum::copies
--- a/copies/group.cpp
+++ b/copies/group.cpp
@@ -23,7 +23,7 @@
     if (!own_start_ && !broken(Without::restart_wait)) bound_until_ = now + settings_.lease;
   }
   seen_ = durable_.promised;
-  for (const auto& [id, item] : durable_.items) live_ += item.over ? 0 : 1;
+  for (const auto& [id, item] : durable_.items) live_ += item.live() ? 1 : 0;
 }
 
 // ------------------------------------------------------------------------------------- as the owner
@@ -57,17 +57,18 @@
 }
 
 unsigned Group::held(std::string_view id, bool bodies) const {
-  const Item* item = find(id);
-  if (!item) return 0;
   unsigned n = 0;
-  for (Place p = 0; p < kVoters; ++p) {
-    if (p == shape_.self || (bodies && !shape_.has_bodies(p))) continue;
-    const auto acked = peers_[p].acked.find(id);
-    n += acked != peers_[p].acked.end() && acked->second >= item->stamp ? 1 : 0;
-  }
+  for (Place p = 0; p < kVoters; ++p) n += (!bodies || shape_.has_bodies(p)) && has_newest(p, id) ? 1 : 0;
   return n;
 }
 
+bool Group::has_newest(Place other, std::string_view id) const {
+  const Item* item = find(id);
+  if (!item || other == shape_.self) return false;
+  const auto acked = peers_[other].acked.find(id);
+  return acked != peers_[other].acked.end() && acked->second >= item->stamp;
+}
+
 void Group::append(Time now, Place to) {
   Peer& peer = peers_[to];
   Say s = say(now, Kind::append);
@@ -219,9 +220,9 @@
 void Group::store(const std::string& id, Item item) {
   if (item.over) item.payload = nullptr;
   const auto [at, added] = durable_.items.try_emplace(id);
-  if (!added && !at->second.over) --live_;
+  if (!added && at->second.live()) --live_;
   at->second = std::move(item);
-  live_ += at->second.over ? 0 : 1;
+  live_ += at->second.live() ? 1 : 0;
   changed_.items.push_back(id);
 }
 
@@ -283,10 +284,12 @@
 
 void Group::prune(Time now, Duration keep) {
   for (auto at = durable_.items.begin(); at != durable_.items.end();) {
-    if (!at->second.over || now < at->second.until + keep) {
+    if (now < at->second.until + keep) {
       ++at;
       continue;
     }
+    live_ -= at->second.live() ? 1 : 0;
+    changed_.items.push_back(at->first);
     for (Peer& p : peers_) {
       p.unsent.erase(at->first);
       p.acked.erase(at->first);
--- a/copies/group.h
+++ b/copies/group.h
@@ -71,6 +71,7 @@
   const Item* find(std::string_view id) const;
   // How many others have the newest state of it; `bodies`: of those that hold the message itself.
   unsigned held(std::string_view id, bool bodies) const;
+  bool has_newest(Place other, std::string_view id) const;
 
   // ------------------------------------------------------------------ events
   void receive(Time now, const Say& say);
@@ -100,7 +101,7 @@
   // When the last call of an item can't be out any more.
   Time free_at(const Item& item) const;
 
-  // Forgets what is over and whose time passed before `now` by `keep`.
+  // Forgets what had its time until `keep` before `now`: whoever held it has seen to its end.
   void prune(Time now, Duration keep);
 
   const Items& items() const { return durable_.items; }
--- a/copies/types.h
+++ b/copies/types.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -41,13 +42,23 @@
   auto operator<=>(const Stamp&) const = default;
 };
 
+// How a message ended that was not delivered, until the platform has been told.
+struct Owed {
+  bool handed_back = false;  // otherwise given up
+  Duration retry_in{};
+  auto operator<=>(const Owed&) const = default;
+};
+
 // One message with all that is known of it. Each state holds all that the ones before it held.
 struct Item {
   Stamp stamp;
   std::shared_ptr<const Payload> payload;  // none: this member only votes, or the message is over
   Time until{};                            // its deadline, on this member's clock
   std::vector<Attempt> attempts;           // by number
-  bool over = false;                       // it has its end, or will have: nobody owes anything more
+  bool over = false;                       // nothing more is sent for it
+  std::optional<Owed> owed;                // over, but for a notice that the platform has not taken yet
+
+  bool live() const { return !over || owed; }
 };
 using Items = std::map<std::string, Item, std::less<>>;
 
--- a/lab/drive.h
+++ b/lab/drive.h
@@ -15,9 +15,13 @@
   std::string program;  // the relay
   std::string folder;   // for what relays keep and log; made, and left where it was named
   const std::atomic<bool>* stop = nullptr;
-  bool fleet = false;        // the relays keep a view of the fleet, over a wire with the day's faults
-  std::string without;       // a part of it that is broken on purpose; for a program that was built to know
-  unsigned probe_ms = 1000;  // of that view; all its other times follow
+  bool fleet = false;          // the relays keep a view of the fleet, over a wire with the day's faults
+  std::string without;         // a part of it that is broken on purpose; for a program that was built to know
+  unsigned copies = 0;         // of what each relay holds, by others; needs `fleet`
+  bool accept_short = false;   // what too few others hold is taken on nevertheless
+  unsigned lease_ms = 1000;    // of who acts on what was copied
+  std::string copies_without;  // a part of that exchange that is broken on purpose; likewise
+  unsigned probe_ms = 1000;    // of that view; all its other times follow
   std::function<void(double)> progress{};
   std::function<void(const Observation&)> watch{};  // sees all that can be seen from outside
 };
@@ -32,6 +36,12 @@
   std::uint64_t lost = 0, streams = 0;
 };
 
+struct CopiesSeen {  // what the relays that still ran said of their copies, all together
+  std::uint64_t placed = 0, refused = 0, late = 0, won = 0, lost = 0, inherited = 0, expired = 0;
+  std::uint64_t sent_by_heirs = 0, delivered_by_heirs = 0;  // calls, as the partners saw them
+  double first_call = -1;  // seconds from a loss to the first call of an heir; under 0: none
+};
+
 struct DriveResult {
   RunResult run;
   double late_most = 0;   // seconds that the stand-ins' own timers came late
@@ -39,6 +49,7 @@
   unsigned starts = 0;    // of relays
   unsigned crashes = 0;   // relays that ended and were not told to
   FleetSeen fleet;        // where the options ask for it
+  CopiesSeen copies;      // likewise
 };
 
 // What can't be driven (too many relays, too much load, a fault that needs the emulator) throws
--- a/lab/drive_parts.h
+++ b/lab/drive_parts.h
@@ -50,6 +50,7 @@
     bool orphan = false;  // its client has handed it in anew: what comes of it counts for nothing
     std::uint32_t attempts = 0;
     std::uint32_t attempt_host = 0;
+    std::uint32_t sender = 0;    // relay that made the last attempt
     std::weak_ptr<Session> out;  // where its call is
   };
   struct RelayProcess {
@@ -128,6 +129,9 @@
   // ------------------------------------------------------------------ drive_fleet.cpp
   void lay_wire();
   boost::json::object fleet_config(std::uint32_t place) const;
+  boost::json::object copies_config(std::uint32_t place) const;
+  std::uint32_t sender_of(const HttpRequest& request, std::uint32_t relay) const;
+  asio::awaitable<void> ask_copies();
   asio::awaitable<std::string> ask_admin(tcp::endpoint at, std::string line);
   asio::awaitable<void> look_at(std::uint32_t relay);
   std::string view_trouble();
@@ -163,7 +167,9 @@
   std::size_t timers_ = 0, late_timers_ = 0;
   std::string failure_;
   bool over_ = false;
-  std::unique_ptr<Wire> wire_;  // where the relays keep a view
+  std::unique_ptr<Wire> wire_;         // where the relays keep a view
+  std::unique_ptr<Wire> copies_wire_;  // where they make copies
+  Time last_loss_ = Time::min();
   std::unique_ptr<Child> twin_;
   Time last_fault_{};
   bool fleet_over_ = false;
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -128,6 +128,16 @@
     if (config.sockets <= kFleetDescriptors) reject("limits.sockets", "too few for a fleet");
     config.sockets -= kFleetDescriptors;
   }
+  if (const json::value* copies = root.if_contains("copies")) {
+    if (!copies->is_object()) reject("copies", "not an object");
+    if (!config.fleet) reject("copies", "needs a fleet");
+    config.copies = parse_copies(copies->as_object(), config.disk_bytes);
+    config.copies_disk = static_cast<std::uint64_t>(static_cast<double>(config.disk_bytes) * kCopiesDisk);
+    config.disk_bytes -= config.copies_disk;
+    const std::size_t descriptors = copies_descriptors(*config.copies);
+    if (config.sockets <= 2 * descriptors) reject("limits.sockets", "too few for copies");
+    config.sockets -= descriptors;
+  }
   return config;
 }
 
--- a/relay/config.h
+++ b/relay/config.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "codec.h"
+#include "copies_config.h"
 #include "fleet_config.h"
 #include "host_list.h"
 #include "vetchhinge/policy.h"
@@ -16,9 +17,11 @@
   std::string name;
   Endpoint listen;
   Endpoint discovery;
-  std::optional<Endpoint> admin;     // the second address, where there is one
-  std::optional<FleetConfig> fleet;  // off where there is none
-  std::uint64_t seed = 0;            // new with each start
+  std::optional<Endpoint> admin;       // the second address, where there is one
+  std::optional<FleetConfig> fleet;    // off where there is none
+  std::optional<CopiesConfig> copies;  // likewise
+  std::uint64_t copies_disk = 0;       // bytes that they may take; `disk_bytes` is what the journal may
+  std::uint64_t seed = 0;              // new with each start
   std::string state_folder;
   std::size_t sockets = 0;
   std::uint64_t disk_bytes = 0;
--- /dev/null
+++ b/relay/copies_config.cpp
@@ -0,0 +1,100 @@
+#include "copies_config.h"
+
+#include <algorithm>
+
+#include "json_fields.h"
+
+namespace myrtlegrade {
+namespace {
+
+namespace json = boost::json;
+namespace copies = valedrum::copies;
+using std::chrono::milliseconds;
+using Field = fields::Field<CopiesConfig>;
+
+constexpr std::size_t kLeastDisk = 256 << 10;
+
+Field span_of(copies::Duration copies::CopiesSettings::*where) {
+  return [where](CopiesConfig& c, const json::value& v, std::string_view f) {
+    c.settings.*where = milliseconds(fields::whole(v, f));
+  };
+}
+
+Field number_of(unsigned copies::CopiesSettings::*where) {
+  return [where](CopiesConfig& c, const json::value& v, std::string_view f) {
+    c.settings.*where = static_cast<unsigned>(fields::whole(v, f));
+  };
+}
+
+Field address_of(valedrum::membership::Address CopiesConfig::*where) {
+  return [where](CopiesConfig& c, const json::value& v, std::string_view f) {
+    c.*where = fields::address(v, f);
+  };
+}
+
+// One of two words.
+template <typename Set>
+Field word_of(std::string_view first, std::string_view second, Set set) {
+  return [=](CopiesConfig& c, const json::value& v, std::string_view f) {
+    const std::string word = fields::text(v, f);
+    if (word != first && word != second)
+      fields::reject(f, "must be " + std::string(first) + " or " + std::string(second));
+    set(c, word == second);
+  };
+}
+
+const std::map<std::string_view, Field>& known_fields() {
+  using S = copies::CopiesSettings;
+  static const std::map<std::string_view, Field> all = {
+      {"bind", address_of(&CopiesConfig::bind)},
+      {"advertise", address_of(&CopiesConfig::advertise)},
+      {"copies", number_of(&S::copies)},
+      {"spread", number_of(&S::spread)},
+      {"lease_ms", span_of(&S::lease)},
+      {"answer_ms", span_of(&S::answer_within)},
+      {"zones", word_of("any", "other", [](CopiesConfig& c, bool other) { c.settings.other_zone = other; })},
+      {"on_shortage", word_of("refuse", "accept",
+                              [](CopiesConfig& c, bool accept) {
+                                c.settings.on_shortage =
+                                    accept ? copies::Shortage::accept : copies::Shortage::refuse;
+                              })},
+#ifdef VALEDRUM_BREAKABLE  // a build of the tests alone: they have to see that what is broken is noticed
+      {"without",
+       [](CopiesConfig& c, const json::value& v, std::string_view f) {
+         const auto* named =
+             std::ranges::find(copies::kWithoutNames, fields::text(v, f), &copies::WithoutName::name);
+         if (named == std::end(copies::kWithoutNames)) fields::reject(f, "no such part");
+         c.settings.without = named->without;
+       }},
+#endif
+  };
+  return all;
+}
+
+}  // namespace
+
+std::size_t copies_descriptors(const CopiesConfig& config) {
+  return 4 * std::size_t{config.settings.spread} * (valedrum::copies::kVoters - 1) + 4;
+}
+
+CopiesConfig parse_copies(const json::object& object, std::uint64_t disk_bytes) {
+  CopiesConfig c;
+  fields::read(object, known_fields(), "copies.", c);
+  if (!c.bind) fields::reject("copies.bind", "missing");
+  if (!c.advertise) c.advertise = c.bind;
+  c.settings.margin = c.settings.renew = c.settings.lease / 4;
+  c.settings.again = c.settings.lease / 16;
+  // The file and its successor stand side by side while it is written anew, at six tenths of the room: what
+  // matters has to fit into three, bodies of others, own ones, and what is said of them.
+  const auto disk = static_cast<std::size_t>(static_cast<double>(disk_bytes) * kCopiesDisk);
+  if (disk < kLeastDisk) fields::reject("limits.disk_mb", "too little for copies");
+  c.settings.budget = disk / 8;
+  try {
+    copies::check(c.settings);
+  } catch (const std::invalid_argument& e) {
+    throw std::invalid_argument("config: copies." + std::string(e.what()));
+  }
+  return c;
+}
+
+}  // namespace myrtlegrade
--- /dev/null
+++ b/relay/copies_file.h
@@ -0,0 +1,43 @@
+// The file `copies` in the folder that lasts: what this relay has promised and holds in its groups.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "copies/codec.h"
+
+namespace myrtlegrade {
+
+class CopiesFile {
+ public:
+  // Throws std::runtime_error where a later program wrote it, std::system_error where it can't be opened.
+  CopiesFile(const std::string& folder, std::string member, std::uint64_t most_bytes);
+  ~CopiesFile();
+  CopiesFile(const CopiesFile&) = delete;
+  CopiesFile& operator=(const CopiesFile&) = delete;
+
+  // What was found. Nothing where it was damaged or another member's: then this is a new life, which knows of
+  // no group.
+  valedrum::copies::Stored take() { return std::exchange(stored_, {}); }
+
+  // What has to be on disk before anything that depends on it is said. With `snapshot`, all that matters, it
+  // is written anew where little of it still does. False: the disk takes no more; nothing of it may be said.
+  bool append(const std::string& records, const std::function<std::string()>& snapshot);
+
+ private:
+  std::string path() const { return folder_ + "/copies"; }
+  bool rewrite(const std::string& text);
+
+  std::string folder_, member_;
+  std::uint64_t most_;
+  int file_ = -1;
+  std::uint64_t size_ = 0, written_anew_ = 0;  // bytes; after the last time that it was written anew
+  valedrum::copies::Stored stored_;
+};
+
+// What the day's clock shows at the zero of the one that copies tell time by.
+valedrum::copies::Duration wall_of(valedrum::copies::Time now);
+
+}  // namespace myrtlegrade
--- a/relay/fleet.cpp
+++ b/relay/fleet.cpp
@@ -161,6 +161,19 @@
   for (membership::Ask& a : members_->take_asks()) spawn(executor_, ask(std::move(a)));
   for (const membership::Change& c : members_->take_changes()) log(c);
   arm();
+  if (on_change_ && std::exchange(told_version_, members_->version()) != members_->version())
+    on_change_(*members_);
+}
+
+void Fleet::publish(std::uint32_t version, std::string bytes) {
+  if (stopped_) return;
+  members_->publish(now(), version, std::move(bytes));
+  turn();
+}
+
+void Fleet::on_change(std::function<void(const membership::Membership&)> told) {
+  on_change_ = std::move(told);
+  on_change_(*members_);
 }
 
 void Fleet::log(const membership::Change& c) {
--- a/relay/fleet.h
+++ b/relay/fleet.h
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
@@ -33,6 +34,10 @@
   void stop();
 
   void reseed(std::vector<valedrum::membership::Address> seeds);
+  // What this relay publishes in its record, for the parts that build on the view.
+  void publish(std::uint32_t version, std::string bytes);
+  // Called whenever the view has changed.
+  void on_change(std::function<void(const valedrum::membership::Membership&)> told);
   // The view as this relay has it, in one line of JSON.
   std::string view() const;
 
@@ -59,6 +64,8 @@
   std::list<Stream> served_;
   Stream asking_;
   bool stopped_ = false, waits_ = false;
+  std::function<void(const valedrum::membership::Membership&)> on_change_;
+  std::uint64_t told_version_ = 0;
   std::vector<char> buffer_;
   std::uint64_t unsent_ = 0;  // datagrams that the kernel did not take
   std::chrono::steady_clock::time_point lines_from_{};
--- a/relay/fleet_config.cpp
+++ b/relay/fleet_config.cpp
@@ -4,17 +4,15 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/json/value.hpp>
 #include <chrono>
 #include <fstream>
-#include <functional>
 #include <iostream>
 #include <iterator>
 #include <map>
 #include <stdexcept>
 
 #include "bytes.h"
-#include "host_list.h"
+#include "json_fields.h"
 
 namespace myrtlegrade {
 namespace {
@@ -24,56 +22,37 @@
 
 enum class Written : std::uint8_t { version_1 = 1 };
 
-[[noreturn]] void reject(std::string_view field, const std::string& what) {
-  throw std::invalid_argument("config: fleet." + std::string(field) + ": " + what);
-}
-
-std::string text(const json::value& value, std::string_view field) {
-  if (!value.is_string()) reject(field, "not a text");
-  return std::string(value.as_string());
-}
-
-std::int64_t whole(const json::value& value, std::string_view field) {
-  if (!value.is_int64()) reject(field, "not a whole number");
-  return value.as_int64();
-}
-
-membership::Address address(const json::value& value, std::string_view field) {
-  const Endpoint e = parse_endpoint(text(value, field), "config: fleet." + std::string(field));
-  if (!e.address().is_v4() || e.port() == 0) reject(field, "must be an IPv4 address and a port");
-  return {e.address().to_v4().to_uint(), e.port()};
-}
-
-using Field = std::function<void(FleetConfig&, const json::value&, std::string_view)>;
+using Field = fields::Field<FleetConfig>;
 
 template <typename Unit>
 Field span_of(membership::Duration membership::Settings::*where) {
   return [where](FleetConfig& c, const json::value& v, std::string_view f) {
-    c.settings.*where = Unit(std::clamp<std::int64_t>(whole(v, f), 0, 1 << 30));
+    c.settings.*where = Unit(fields::whole(v, f));
   };
 }
 
 Field number_of(std::uint32_t membership::Settings::*where) {
   return [where](FleetConfig& c, const json::value& v, std::string_view f) {
-    c.settings.*where = static_cast<std::uint32_t>(std::clamp<std::int64_t>(whole(v, f), 0, 1 << 20));
+    c.settings.*where = static_cast<std::uint32_t>(fields::whole(v, f));
   };
 }
 
 Field text_of(std::string FleetConfig::*where) {
-  return [where](FleetConfig& c, const json::value& v, std::string_view f) { c.*where = text(v, f); };
+  return [where](FleetConfig& c, const json::value& v, std::string_view f) { c.*where = fields::text(v, f); };
 }
 
 Field address_of(membership::Address FleetConfig::*where) {
-  return [where](FleetConfig& c, const json::value& v, std::string_view f) { c.*where = address(v, f); };
+  return
+      [where](FleetConfig& c, const json::value& v, std::string_view f) { c.*where = fields::address(v, f); };
 }
 
-const std::map<std::string_view, Field>& fields() {
+const std::map<std::string_view, Field>& known_fields() {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
   using S = membership::Settings;
   static const std::map<std::string_view, Field> all = {
-      {"name",
-       [](FleetConfig& c, const json::value& v, std::string_view f) { c.settings.fleet = text(v, f); }},
+      {"name", [](FleetConfig& c, const json::value& v,
+                  std::string_view f) { c.settings.fleet = fields::text(v, f); }},
       {"bind", address_of(&FleetConfig::bind)},
       {"advertise", address_of(&FleetConfig::advertise)},
       {"machine", text_of(&FleetConfig::machine)},
@@ -86,15 +65,15 @@
       {"confirmations", number_of(&S::confirmations)},
       {"seeds",
        [](FleetConfig& c, const json::value& v, std::string_view f) {
-         if (!v.is_array()) reject(f, "not a list");
-         for (const json::value& seed : v.as_array()) c.settings.seeds.push_back(address(seed, f));
+         if (!v.is_array()) fields::reject(f, "not a list");
+         for (const json::value& seed : v.as_array()) c.settings.seeds.push_back(fields::address(seed, f));
        }},
 #ifdef VALEDRUM_BREAKABLE  // a build of the tests alone: they have to see that what is broken is noticed
       {"without",
        [](FleetConfig& c, const json::value& v, std::string_view f) {
          const auto* named =
-             std::ranges::find(membership::kWithoutNames, text(v, f), &membership::WithoutName::name);
-         if (named == std::end(membership::kWithoutNames)) reject(f, "no such part");
+             std::ranges::find(membership::kWithoutNames, fields::text(v, f), &membership::WithoutName::name);
+         if (named == std::end(membership::kWithoutNames)) fields::reject(f, "no such part");
          c.settings.without = named->without;
        }},
 #endif
@@ -107,16 +86,12 @@
 FleetConfig parse_fleet(const json::object& fleet, const std::string& zone) {
   FleetConfig c;
   c.zone = zone;
-  for (const auto& [key, value] : fleet) {
-    const auto field = fields().find(key);
-    if (field == fields().end()) reject(key, "unknown field");
-    field->second(c, value, key);
-  }
-  if (!c.bind) reject("bind", "missing");
+  fields::read(fleet, known_fields(), "fleet.", c);
+  if (!c.bind) fields::reject("fleet.bind", "missing");
   if (!c.advertise) c.advertise = c.bind;
   if (c.machine.empty()) c.machine = boost::asio::ip::address_v4(c.advertise.ip).to_string();
-  if (c.machine.size() > membership::kMostName) reject("machine", "has more than 64 bytes");
-  if (c.zone.size() > membership::kMostZone) reject("zone", "has more than 32 bytes");
+  if (c.machine.size() > membership::kMostName) fields::reject("fleet.machine", "has more than 64 bytes");
+  if (c.zone.size() > membership::kMostZone) fields::reject("fleet.zone", "has more than 32 bytes");
   try {
     membership::check(c.settings);
   } catch (const std::invalid_argument& e) {
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -77,9 +77,11 @@
   return json::serialize(entries);
 }
 
-std::string make_request(const Endpoint& address, const std::vector<CallItem>& items) {
+std::string make_request(const Endpoint& address, const std::vector<CallItem>& items,
+                         const std::string& via) {
   http::request<http::string_body> request{http::verb::post, "/inbox", 11};
   request.set(http::field::host, address.address().to_string() + ":" + std::to_string(address.port()));
+  if (!via.empty()) request.set(http::field::via, "1.1 " + via);
   Duration longest{};
   for (const CallItem& item : items) longest = std::max(longest, item.timeout);
   request.set("X-Timeout-Ms",
@@ -372,7 +374,7 @@
 }
 
 asio::awaitable<void> HostClient::write(Call& call) {
-  std::string request = make_request(call.address, call.items);
+  std::string request = make_request(call.address, call.items, limits_.via);
   boost::system::error_code error;
   if (std::ranges::any_of(call.items, &CallItem::prove)) {
     const std::string last(1, request.back());
@@ -381,6 +383,10 @@
     if (!stands) co_return;
     request = last;
   }
+  if (limits_.may_leave && !std::ranges::all_of(call.items, limits_.may_leave)) {
+    call.withheld = true;
+    co_return;
+  }
   call.connected = true;
   std::tie(error, std::ignore) =
       co_await asio::async_write(call.connection->socket, asio::buffer(request), kAwait);
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -15,6 +15,7 @@
 #include <system_error>
 
 #include "bytes.h"
+#include "files.h"
 #include "journal_records.h"
 
 namespace myrtlegrade {
@@ -28,16 +29,6 @@
 
 std::uint64_t whole_blocks(std::uint64_t bytes) { return (bytes + kBlock - 1) / kBlock * kBlock; }
 
-bool write_all(int file, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const ssize_t written = ::write(file, bytes.data(), bytes.size());
-    if (written < 0 && errno == EINTR) continue;
-    if (written <= 0) return false;
-    bytes.remove_prefix(static_cast<std::size_t>(written));
-  }
-  return true;
-}
-
 }  // namespace
 
 Journal::Journal(const std::string& folder, std::uint64_t most_bytes) : folder_(folder), most_(most_bytes) {
--- a/relay/link.h
+++ b/relay/link.h
@@ -4,19 +4,19 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/local/stream_protocol.hpp>
-#include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
-#include "bytes.h"
+#include "record_stream.h"
 
 namespace myrtlegrade {
 
-class Link : public std::enable_shared_from_this<Link> {
+class Link : public RecordStream<boost::asio::local::stream_protocol> {
  public:
   using Protocol = boost::asio::local::stream_protocol;
 
-  explicit Link(Protocol::socket socket) : socket_(std::move(socket)) {}
+  explicit Link(Protocol::socket socket) : RecordStream(std::move(socket), kMostFrame) {}
 
   // Where the relay of this folder listens for its successor, however long the folder's path is.
   static Protocol::endpoint place(const std::string& folder);
@@ -26,21 +26,8 @@
   // Waits for it. None: the other end is gone, or sent something else.
   boost::asio::awaitable<std::optional<int>> receive_descriptor();
 
-  void send(const Writer& frame);
-  bool sent() const { return queue_.empty() && !writing_; }
-
-  // None: the other end is gone, or what it says is spoilt.
-  boost::asio::awaitable<std::optional<std::string>> receive();
-
-  void close();
-
  private:
-  boost::asio::awaitable<void> write_out(std::shared_ptr<Link> self);
-
-  Protocol::socket socket_;
-  std::string queue_;   // not written yet
-  std::string buffer_;  // not read yet
-  bool writing_ = false;
+  static constexpr std::size_t kMostFrame = 8 << 20;
 };
 
 }  // namespace myrtlegrade
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -61,16 +61,25 @@
       config_(std::move(config)),
       journal_(config_.state_folder, config_.disk_bytes),
       sender_(config_.settings),
-      host_client_(executor,
-                   {config_.connect_timeout, config_.settings.connection_idle,
-                    part_of(config_.sockets, kIdleHostShare), part_of(config_.sockets, kHostShare),
-                    config_.dialect.share_left && config_.dialect.calls_per_second},
-                   [this](HostId host, const CallItem& item, const CallResult& result) {
-                     reported(host, item, result);
-                   }),
+      host_client_(
+          executor,
+          {config_.connect_timeout,
+           config_.settings.connection_idle,
+           part_of(config_.sockets, kIdleHostShare),
+           part_of(config_.sockets, kHostShare),
+           config_.dialect.share_left && config_.dialect.calls_per_second,
+           {},
+           !config_.copies
+               ? decltype(HostClient::Limits::may_leave){}
+               : [this](const CallItem&
+                            item) { return copies_->copies().may_call(CopyNet::now(), item.payload->id); },
+           config_.copies ? config_.name : ""},
+          [this](HostId host, const CallItem& item, const CallResult& result) {
+            reported(host, item, result);
+          }),
       discovery_(
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
-          [this] { watch_lost(); }, [this](const std::string& message) { journal_.notice_settled(message); }),
+          [this] { watch_lost(); }, [this](const std::string& message) { notice_settled(message); }),
       server_(
           executor, std::move(listening), part_of(config_.sockets, kClientShare), [this] { return ready(); },
           [this](HandIn message, Server::Respond respond) {
@@ -81,6 +90,7 @@
       watch_timer_(executor),
       log_timer_(executor),
       drain_timer_(executor) {
+  make_copies();
   if (!inherited) return;
   Reader in(*inherited);
   inherited_ = read_inheritance(in, config_.dialect.hosts);
@@ -101,7 +111,12 @@
   events_.emplace_back(std::move(cached));
   if (inherited) events_.emplace_back(inherited->learned);
   for (const std::string& host : journal_.banned()) tell_by_hand(host, true);
-  for (const Notice& notice : journal_.take_notices()) discovery_.send(notice);
+  for (Notice& notice : journal_.take_notices()) {
+    // Whether others know that it goes back to its client is not known: its failure does no harm to what they
+    // do.
+    notice.handed_back = notice.handed_back && !copies_;
+    discovery_.send(notice);
+  }
   std::unordered_map<std::string, const OutCall*> out;
   if (inherited) {
     last_call_ = inherited->last_call;
@@ -114,9 +129,15 @@
   }
   for (const StoredMessage& stored : journal_.take_messages()) {
     const auto at = out.find(stored.id);
-    take_up(stored, at == out.end() ? nullptr : at->second);
+    const OutCall* call = at == out.end() ? nullptr : at->second;
+    if (copies_ && copies_->copies().look(stored.id)) {
+      waiting_.emplace(stored.id, Waiting{stored, call ? std::optional(*call) : std::nullopt});
+    } else {
+      take_up(stored, call);
+    }
   }
   step();
+  if (copies_) copies_->start();
   server_.start();
   if (!config_.settings.list_on_request) discovery_.watch(list_version_);
   keep_log();
@@ -156,6 +177,7 @@
     };
     return;
   }
+  if (copied_elsewhere(message, respond)) return;
   if (!destinations_.contains(message.destination)) {
     return respond({Answer::Kind::unknown_destination, whole_ms(config_.settings.max_wait_hint)});
   }
@@ -252,6 +274,7 @@
   Open& open = open_.at(message);
   if (open.over || --open.listeners > 0) return;
   journal_.end(id);
+  if (copies_) copies_->copies().over(CopyNet::now(), id);
   happened(vetchhinge::Withdrawn{message});
   close_message(message);
 }
@@ -276,7 +299,7 @@
   if (result.wait > 0us) {
     const Host& told = hosts_.at(host);
     if (config_.settings.kinds[told.kind].routes_apart) {
-      host_client_.withhold(host);
+      withhold_host(host);
     } else {
       withhold(told.cell);
     }
@@ -286,9 +309,17 @@
                            result.result == Result::not_sent;
     if (result.over) {
       journal_.end(open.payload->id);
+      // Delivered before all have said that they hold it: there is nothing left to hold.
+      if (open.respond) std::exchange(open.respond, nullptr)({Answer::Kind::taken});
     } else if (never_ran) {
       journal_.never_ran(open.payload->id, item.attempt);
     }
+    if (copies_ && result.over) copies_->copies().over(CopyNet::now(), open.payload->id);
+    if (copies_ && !result.over) {
+      copies_->copies().fate(
+          CopyNet::now(), open.payload->id, item.attempt,
+          never_ran ? valedrum::copies::Fate::never_ran : valedrum::copies::Fate::may_have_run);
+    }
   }
   if (result.over || open.over) close_message(item.message);
   --hosts_.at(host).out;
@@ -297,7 +328,7 @@
 
 void Relay::withhold(std::uint64_t cell) {
   for (const auto& [id, host] : hosts_) {
-    if (host.cell == cell) host_client_.withhold(id);
+    if (host.cell == cell) withhold_host(id);
   }
 }
 
@@ -345,7 +376,7 @@
     host.weight = listed.host.scale;
   }
   for (const HostId id : were_running) {
-    if (!hosts_.at(id).running) host_client_.withhold(id);
+    if (!hosts_.at(id).running) withhold_host(id);
   }
   for (const auto& [id, host] : hosts_) {
     if (!host.listed) gone.push_back(id);
@@ -395,7 +426,7 @@
     journal_.lift(host);
     return "NAK the disk is full";
   }
-  host_client_.withhold(HostId(*number));
+  withhold_host(HostId(*number));
   tell_by_hand(host, true);
   return "ACK";
 }
@@ -476,7 +507,7 @@
   const auto answered = [&](MessageId id) {
     return std::ranges::any_of(answers, [id](const auto& a) { return a.first == id; });
   };
-  std::vector<MessageId> taken;
+  std::vector<MessageId> taken, not_held;
   for (const MessageId id : std::exchange(arrivals_, {})) {
     if (answered(id)) continue;
     const Open& open = open_.at(id);
@@ -487,7 +518,12 @@
                      open.payload->body,
                      open.deadline,
                      {}});
-    taken.push_back(id);
+    if (copies_ && !copy(open)) {
+      journal_.end(open.payload->id);
+      not_held.push_back(id);
+    } else {
+      taken.push_back(id);
+    }
   }
   Calls calls;
   for (const auto& action : actions) {
@@ -495,22 +531,22 @@
   }
   const bool kept = journal_.flush();
   for (const auto& [id, answer] : answers) {
-    std::exchange(open_.at(id).respond, nullptr)(answer);
+    Open& open = open_.at(id);
+    if (copies_) {  // it may have been copied, and not been promised yet
+      journal_.end(open.payload->id);
+      copies_->copies().over(CopyNet::now(), open.payload->id);
+    }
+    std::exchange(open.respond, nullptr)(answer);
     close_message(id);
   }
   for (const MessageId id : taken) {
-    Open& open = open_.at(id);
-    if (kept) {
-      ++counters_.taken;
-      std::exchange(open.respond, nullptr)({Answer::Kind::taken});
-      continue;
+    if (!kept) {
+      take_back(id);  // what can't be written down can't be taken on
+    } else {
+      promise(id);
     }
-    // What can't be written down can't be taken on.
-    journal_.end(open.payload->id);
-    std::exchange(open.respond, nullptr)({Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)});
-    happened(vetchhinge::Withdrawn{id});
-    close_message(id);
   }
+  for (const MessageId id : not_held) take_back(id);
   if (!kept) not_sent(calls);
   for (const auto& action : actions) {
     std::visit(
@@ -531,8 +567,8 @@
         action);
   }
   journal_.flush();
-  if (!kept) return;
-  for (auto& [host, items] : calls) host_client_.call(host, hosts_.at(host).address, std::move(items));
+  if (kept) call_when_known(std::move(calls));
+  if (copies_) copies_->turn();
 }
 
 // Sends of one step to one host travel together, as many as a call there carries.
@@ -557,6 +593,9 @@
   ++hosts_.at(send.host).out;
   journal_.attempt(open.payload->id,
                    {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
+  if (copies_)
+    copy_attempt(open, config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone,
+                 send.timeout);
 }
 
 void Relay::not_sent(const Calls& calls) {
@@ -570,7 +609,7 @@
   if (found == open_.end() || found->second.over) return;  // a client was answered with it
   notice.message = found->second.payload->id;
   journal_.end_owing(notice);
-  discovery_.send(std::move(notice));
+  tell(std::move(notice));
   close_message(id);
 }
 
@@ -581,8 +620,10 @@
   Open& open = found->second;
   if (!std::exchange(open.over, true)) --held_;
   if (!open.out.empty()) return;
-  ids_.erase(open.payload->id);
+  const std::string name = open.payload->id;
+  ids_.erase(name);
   open_.erase(found);
+  if (const auto later = inherited_later_.extract(name)) inherit(later.mapped());
 }
 
 // -------------------------------------------------------------------------------------------- log
@@ -616,6 +657,7 @@
   draining_ = closing_ = true;
   step_timer_.cancel();
   watch_timer_.cancel();
+  settle_pending();
   journal_.flush();
   journal_.retire();
   discovery_.stop();
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "config.h"
+#include "copy_net.h"
 #include "counters.h"
 #include "discovery.h"
 #include "frames.h"
@@ -67,6 +68,9 @@
   void leave_descriptors(std::size_t count);
   std::size_t descriptors() const;
 
+  // Where copies are configured.
+  const std::shared_ptr<CopyNet>& copies() const { return copies_; }
+
   void hand_in(HandIn message, Server::Respond respond);
   void unheard(const std::string& id);
 
@@ -104,7 +108,8 @@
     std::string zone;
     std::uint32_t kind = 0;
     double weight = 1;
-    std::size_t out = 0;  // attempts without an outcome
+    std::size_t out = 0;         // attempts without an outcome
+    std::uint64_t withheld = 0;  // so often was what is on its way to it called back
   };
   using Calls = std::vector<std::pair<vetchhinge::HostId, std::vector<CallItem>>>;
 
@@ -139,8 +144,43 @@
   vetchhinge::MessageId new_id();
   vetchhinge::Time now() const;
 
+  // ------------------------------------------------------------------ relay_copies.cpp
+  struct PendingCall {  // until others know what it means to do
+    vetchhinge::HostId host{};
+    std::vector<CallItem> items;
+    std::uint64_t withheld = 0;  // as it was then
+  };
+  struct Waiting {  // found in the journal, and not known yet whether it is still this relay's to end
+    StoredMessage stored;
+    std::optional<OutCall> out;
+  };
+  void make_copies();
+  bool copied_elsewhere(const HandIn& message, const Server::Respond& respond) const;
+  bool copy(const Open& open);
+  void copy_attempt(const Open& open, const std::string& host, const std::string& zone,
+                    vetchhinge::Duration timeout);
+  void promise(vetchhinge::MessageId id);
+  void take_back(vetchhinge::MessageId id);
+  void call_when_known(Calls calls);
+  void call_now(const PendingCall& call);
+  void tell(Notice notice);
+  void notice_settled(const std::string& message);
+  void on_copies(const valedrum::copies::CopyEvent& event);
+  void on_done(const valedrum::copies::Done& done);
+  void inherit(const valedrum::copies::Inherited& inherited);
+  void give_up(const std::string& id);
+  void expired(const valedrum::copies::Expired& expired);
+  void settle_pending();
+  void withhold_host(vetchhinge::HostId id);
+
   boost::asio::any_io_executor executor_;
   Config config_;
+  std::shared_ptr<CopyNet> copies_;                                    // where copies are configured
+  std::unordered_map<std::uint64_t, vetchhinge::MessageId> promises_;  // by ticket; likewise
+  std::unordered_map<std::uint64_t, PendingCall> pending_calls_;
+  std::unordered_map<std::uint64_t, Notice> untold_;
+  std::unordered_map<std::string, Waiting> waiting_;
+  std::unordered_map<std::string, valedrum::copies::Inherited> inherited_later_;  // own calls are still out
   Journal journal_;
   vetchhinge::Sender sender_;
   HostClient host_client_;
--- /dev/null
+++ b/relay/relay_copies.cpp
@@ -0,0 +1,251 @@
+// The relay's dealings with copies: what has to be known to others before it is promised or done, and what
+// others had begun. Whether something is sent, and where, is the module's to say here too.
+#include <iostream>
+#include <utility>
+
+#include "relay.h"
+
+namespace myrtlegrade {
+
+namespace copies = valedrum::copies;
+using vetchhinge::Duration;
+using vetchhinge::Effect;
+using vetchhinge::HostId;
+using vetchhinge::MessageId;
+using vetchhinge::Result;
+
+namespace {
+
+WallTime wall_now() {
+  return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
+}
+
+std::chrono::milliseconds whole_ms(Duration d) { return std::chrono::ceil<std::chrono::milliseconds>(d); }
+
+// The same moment on the clock that copies tell time by, and back.
+copies::Time to_copies(WallTime at) { return CopyNet::now() + (at - wall_now()); }
+WallTime from_copies(copies::Time at) { return wall_now() + (at - CopyNet::now()); }
+
+}  // namespace
+
+void Relay::make_copies() {
+  if (!config_.copies) return;
+  copies_ = std::make_shared<CopyNet>(executor_, *config_.copies, *config_.fleet, config_.name,
+                                      config_.state_folder, config_.copies_disk, config_.seed,
+                                      [this](const copies::CopyEvent& event) { on_copies(event); });
+}
+
+// One that is held here for another relay, or that this one has found and may not act on yet: its promise
+// stands.
+bool Relay::copied_elsewhere(const HandIn& message, const Server::Respond& respond) const {
+  const copies::Item* item = copies_ ? copies_->copies().look(message.id) : nullptr;
+  if (!item) return false;
+  respond({item->live() ? Answer::Kind::taken : Answer::Kind::failed});
+  return true;
+}
+
+bool Relay::copy(const Open& open) {
+  const auto cls = config_.dialect.classes.find(open.cls);
+  copies::Item item;
+  item.until = to_copies(open.deadline);
+  item.payload = std::make_shared<const copies::Payload>(
+      copies::Payload{open.payload->id, open.cls, open.payload->key, open.payload->body, open.destination,
+                      config_.settings.classes[*cls].effect == Effect::at_most_once});
+  return copies_->copies().take(CopyNet::now(), open.payload->id, std::move(item)) !=
+         copies::Copies::Taken::refused;
+}
+
+void Relay::copy_attempt(const Open& open, const std::string& host, const std::string& zone,
+                         Duration timeout) {
+  copies_->copies().attempt(CopyNet::now(), open.payload->id, {host, zone, timeout, {}, copies::Fate::out});
+}
+
+void Relay::promise(MessageId id) {
+  Open& open = open_.at(id);
+  if (copies_) {
+    promises_.emplace(
+        copies_->copies().await(CopyNet::now(), {open.payload->id}, copies::Copies::Need::promise), id);
+    return;
+  }
+  ++counters_.taken;
+  std::exchange(open.respond, nullptr)({Answer::Kind::taken});
+}
+
+// Its client is told to come again: it was not promised anything yet.
+void Relay::take_back(MessageId id) {
+  Open& open = open_.at(id);
+  journal_.end(open.payload->id);
+  if (copies_) copies_->copies().over(CopyNet::now(), open.payload->id);
+  if (open.respond)
+    std::exchange(open.respond, nullptr)({Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)});
+  happened(vetchhinge::Withdrawn{id});
+  close_message(id);
+}
+
+void Relay::call_when_known(Calls calls) {
+  for (auto& [host, items] : calls) {
+    PendingCall call{host, std::move(items), hosts_.at(host).withheld};
+    if (!copies_) {
+      call_now(call);
+      continue;
+    }
+    std::vector<std::string> ids;
+    for (const CallItem& item : call.items) ids.push_back(item.payload->id);
+    const auto ticket = copies_->copies().await(CopyNet::now(), std::move(ids), copies::Copies::Need::act);
+    pending_calls_.emplace(ticket, std::move(call));
+  }
+}
+
+void Relay::call_now(const PendingCall& call) {
+  host_client_.call(call.host, hosts_.at(call.host).address, call.items);
+}
+
+// A notice that hands a message back makes its client come again, so that nobody may send it any more by
+// then.
+void Relay::tell(Notice notice) {
+  if (!copies_) return discovery_.send(std::move(notice));
+  copies_->copies().owe(CopyNet::now(), notice.message, {notice.handed_back, notice.retry_in});
+  const auto ticket = copies_->copies().await(CopyNet::now(), {notice.message}, copies::Copies::Need::tell);
+  untold_.emplace(ticket, std::move(notice));
+  copies_->turn();
+}
+
+void Relay::notice_settled(const std::string& message) {
+  journal_.notice_settled(message);
+  if (!copies_) return;
+  copies_->copies().over(CopyNet::now(), message);
+  copies_->turn();
+}
+
+void Relay::withhold_host(HostId id) {
+  ++hosts_.at(id).withheld;
+  host_client_.withhold(id);
+}
+
+// -------------------------------------------------------------------------------------------- events
+
+void Relay::on_copies(const copies::CopyEvent& event) {
+  if (const auto* done = std::get_if<copies::Done>(&event)) return on_done(*done);
+  if (const auto* inherited = std::get_if<copies::Inherited>(&event)) return inherit(*inherited);
+  if (const auto* lost = std::get_if<copies::Lost>(&event)) return give_up(lost->id);
+  if (const auto* over = std::get_if<copies::Expired>(&event)) return expired(*over);
+  if (const auto* ended = std::get_if<copies::Ended>(&event)) {
+    if (waiting_.erase(ended->id) > 0) journal_.end(ended->id);
+  }
+}
+
+void Relay::on_done(const copies::Done& done) {
+  if (const auto promised = promises_.extract(done.ticket)) {
+    const auto found = open_.find(promised.mapped());
+    if (found == open_.end() || found->second.over || !found->second.respond) return;
+    if (!done.good) return take_back(found->first);
+    ++counters_.taken;
+    std::exchange(found->second.respond, nullptr)({Answer::Kind::taken});
+  } else if (const auto pending = pending_calls_.extract(done.ticket)) {
+    PendingCall& call = pending.mapped();
+    // Called back meanwhile, or for a message that is over: as one that could not leave.
+    const bool goes = done.good && !closing_ && hosts_.at(call.host).withheld == call.withheld;
+    std::vector<CallItem> go;
+    for (CallItem& item : call.items) {
+      if (goes && !open_.at(item.message).over) {
+        go.push_back(std::move(item));
+      } else {
+        reported(call.host, item, {Result::not_sent, false, {}, {}});
+      }
+    }
+    call.items = std::move(go);
+    if (!call.items.empty()) call_now(call);
+  } else if (const auto untold = untold_.extract(done.ticket)) {
+    Notice& notice = untold.mapped();
+    if (!done.good && !copies_->copies().is_own(notice.message)) {  // another ends it
+      journal_.notice_settled(notice.message);
+      return;
+    }
+    // Nobody could be told: one that may send it still must find it failed, not back with its client.
+    notice.handed_back = notice.handed_back && done.good;
+    discovery_.send(std::move(notice));
+  }
+}
+
+// To be brought to its end as what a journal holds after a restart.
+void Relay::inherit(const copies::Inherited& inherited) {
+  const std::string& id = inherited.id;
+  const copies::Item& item = inherited.item;
+  if (const auto own = ids_.find(id); own != ids_.end()) {
+    if (open_.at(own->second).over)
+      inherited_later_.insert_or_assign(id, inherited);  // its own calls are still out
+    return;
+  }
+  auto found = waiting_.extract(id);
+  if (!item.payload || !config_.dialect.classes.find(item.payload->cls)) {
+    const Notice notice{id, false, {}};
+    journal_.end_owing(notice);
+    return tell(notice);
+  }
+  StoredMessage stored{id,
+                       item.payload->cls,
+                       item.payload->destination,
+                       item.payload->key,
+                       item.payload->body,
+                       from_copies(item.until),
+                       {}};
+  for (const copies::Attempt& a : item.attempts) {
+    stored.attempts.push_back({a.host, a.zone, from_copies(a.known), a.fate != copies::Fate::never_ran});
+  }
+  std::optional<OutCall> out;
+  if (found) {
+    out = found.mapped().out;
+  } else {
+    journal_.accept(stored);
+    for (std::size_t n = 0; n < stored.attempts.size(); ++n) {
+      journal_.attempt(id, stored.attempts[n]);
+      if (!stored.attempts[n].may_have_run) journal_.never_ran(id, static_cast<std::uint32_t>(n));
+    }
+    journal_.flush();
+  }
+  take_up(stored, out ? &*out : nullptr);
+  schedule();
+}
+
+// Another may act on it. What is out ends here, and says nothing any more.
+void Relay::give_up(const std::string& id) {
+  inherited_later_.erase(id);
+  const auto found = ids_.find(id);
+  if (found == ids_.end()) return;
+  Open& open = open_.at(found->second);
+  if (open.over) return;
+  const MessageId message = found->second;
+  journal_.end(id);
+  // Not promised to its client yet: it may come again.
+  if (open.respond)
+    std::exchange(open.respond, nullptr)({Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)});
+  happened(vetchhinge::Withdrawn{message});
+  close_message(message);
+}
+
+void Relay::expired(const copies::Expired& over) {
+  const auto own = ids_.find(over.id);
+  if (own != ids_.end() && !open_.at(own->second).over) return;  // the module ends it
+  waiting_.erase(over.id);
+  Notice notice{over.id, over.notice.handed_back, whole_ms(over.notice.retry_in)};
+  journal_.end_owing(notice);
+  journal_.flush();
+  discovery_.send(std::move(notice));
+}
+
+// Before this process gives over: what waits for others' word is taken back, for the next one knows nothing
+// of it.
+void Relay::settle_pending() {
+  if (!copies_) return;
+  for (auto& [ticket, call] : std::exchange(pending_calls_, {})) {
+    for (const CallItem& item : call.items) reported(call.host, item, {Result::not_sent, false, {}, {}});
+  }
+  for (const auto& [ticket, id] : std::exchange(promises_, {})) {
+    const auto found = open_.find(id);
+    if (found != open_.end() && !found->second.over && found->second.respond) take_back(id);
+  }
+  copies_->turn();
+  copies_->stop();
+}
+
+}  // namespace myrtlegrade
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -24,6 +24,7 @@
 constexpr auto kPrepareWithin = 300ms;
 constexpr auto kAddressWithin = 3s;  // for a process that has just died to let go of the clients' address
 constexpr auto kTellEvery = 50ms;
+constexpr auto kRoomEvery = 5s;  // a change of what this relay can hold for others
 
 }  // namespace
 
@@ -35,7 +36,8 @@
       pause_(executor),
       successors_(executor),
       prepare_timer_(executor),
-      usage_timer_(executor) {
+      usage_timer_(executor),
+      room_timer_(executor) {
   if (!config_.admin) return;
   admin_.emplace(executor, *config_.admin,
                  [this](const std::string& line, const AdminServer::Reply& reply) { called(line, reply); });
@@ -133,6 +135,7 @@
   try {
     fleet_ =
         std::make_shared<Fleet>(executor_, *config_.fleet, config_.name, config_.state_folder, config_.seed);
+    if (relay_->copies()) join_copies();
     fleet_->start();
   } catch (const std::exception& e) {
     std::cerr << "myrtlegrade: fleet: stays out: " << e.what() << std::endl;
@@ -140,6 +143,32 @@
   }
 }
 
+// Whom copies may go to is who says in the view that it takes them.
+void Succession::join_copies() {
+  namespace copies = valedrum::copies;
+  namespace membership = valedrum::membership;
+  publish_room();
+  fleet_->on_change([this, net = relay_->copies()](const membership::Membership& members) {
+    std::vector<copies::Candidate> all;
+    const auto takes = [](const membership::Record& r) { return r.published_version == copies::kFormat; };
+    for (const membership::Record& r : members.usable(takes)) {
+      const auto said = copies::decode_published(r.published);
+      if (said) all.push_back({{r.name, said->life, said->address}, r.machine, r.zone, said->room});
+    }
+    net->candidates(std::move(all));
+  });
+}
+
+void Succession::publish_room() {
+  if (!fleet_ || given_over_) return;
+  std::string said = encode(relay_->copies()->published());
+  if (said != published_) fleet_->publish(valedrum::copies::kFormat, published_ = std::move(said));
+  room_timer_.expires_after(kRoomEvery);
+  room_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) publish_room();
+  });
+}
+
 // --------------------------------------------------------------------------------------- standing by
 
 asio::awaitable<void> Succession::stand_by() {
@@ -334,6 +363,8 @@
   if (given_over_) return ask_other(successor_, line, reply);
   if (relay_ && line == "FLEET")
     return reply(fleet_ ? "ACK " + fleet_->view() : "NAK this relay is in no fleet");
+  if (relay_ && line == "COPIES")
+    return reply(relay_->copies() ? "ACK " + relay_->copies()->state() : "NAK this relay makes no copies");
   if (relay_) return reply(relay_->called(line));
   ask_other(predecessor_, line, reply);
 }
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -44,6 +44,8 @@
   bool take_office();
   void become(std::optional<std::string> inherited);
   void enter_fleet();
+  void join_copies();
+  void publish_room();
 
   // As the one that stands by, and after that: what the earlier process still says.
   boost::asio::awaitable<void> stand_by();
@@ -79,7 +81,8 @@
   bool successor_ready_ = false;  // has said which version it speaks
   bool ending_ = false, given_over_ = false;
   boost::asio::local::stream_protocol::acceptor successors_;
-  boost::asio::steady_timer prepare_timer_, usage_timer_;
+  boost::asio::steady_timer prepare_timer_, usage_timer_, room_timer_;
+  std::string published_;  // in this relay's record
 
   struct Question {
     std::string line;
