--- a/copies/codec.cpp
+++ b/copies/codec.cpp
@@ -59,11 +59,7 @@
   if (item.owed) out.flag(item.owed->handed_back).span(item.owed->retry_in);
   out.span(item.until - zero).number(item.attempts.size());
   for (const Attempt& a : item.attempts) {
-    out.text(a.host)
-        .text(a.zone)
-        .span(a.timeout)
-        .span(a.known - zero)
-        .number(static_cast<std::uint64_t>(a.fate));
+    out.text(a.host).text(a.zone).span(a.sent - zero).number(a.by).number(static_cast<std::uint64_t>(a.fate));
   }
 }
 
@@ -96,10 +92,10 @@
     Attempt a;
     a.host = in.text();
     a.zone = in.text();
-    a.timeout = in.span();
-    a.known = zero + in.span();
-    const std::uint64_t fate = in.number();
-    in.good = in.good && fate <= static_cast<std::uint64_t>(Fate::may_have_run);
+    a.sent = zero + in.span();
+    const std::uint64_t by = in.number(), fate = in.number();
+    in.good = in.good && by < kVoters && fate <= static_cast<std::uint64_t>(Fate::may_have_run);
+    a.by = static_cast<Place>(by);
     a.fate = static_cast<Fate>(fate);
     item.attempts.push_back(std::move(a));
   }
--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -43,8 +43,7 @@
   for (auto& [id, entry] : stored.groups) {
     Group group(settings_, {entry.self, entry.head.copies}, std::move(entry.durable), Group::Start::restarted,
                 now);
-    const auto at =
-        groups_.emplace(id, Held{entry.head, std::move(group), now, now, true, {}, {}, {}, {}}).first;
+    const auto at = groups_.emplace(id, Held{entry.head, std::move(group), now, now, true, {}, {}, {}}).first;
     for (const auto& [item_id, item] : at->second.group.items()) {
       where_.insert_or_assign(item_id, id);
       if (entry.self != 0) held_bytes_ += size_of(item);
@@ -116,7 +115,7 @@
   head.seats[0] = self_.seat;
   for (Place p = 1; p < kVoters; ++p) head.seats[p] = chosen[p - 1U]->seat;
   Group group(settings_, {0, head.copies}, {}, Group::Start::opened, now);
-  const auto at = groups_.emplace(id, Held{head, std::move(group), now, now, false, {}, {}, {}, {}}).first;
+  const auto at = groups_.emplace(id, Held{head, std::move(group), now, now, false, {}, {}, {}}).first;
   current_[shard] = id;
   records_.push_back({id, ToRecord::What::group, {}});
   ++counters_.groups;
@@ -139,7 +138,9 @@
   if (at == groups_.end() || full) {
     const bool refuse = settings_.on_shortage == Shortage::refuse;
     ++(refuse ? counters_.refused : counters_.unplaced);
-    return refuse ? Taken::refused : Taken::alone;
+    if (refuse) return Taken::refused;
+    alone_.insert(id);
+    return Taken::alone;
   }
   own_bytes_ += size_of(item);
   at->second.group.put(id, std::move(item));
@@ -170,8 +171,9 @@
 }
 
 void Copies::attempt(Time now, const std::string& id, Attempt attempt) {
-  attempt.known = now;
+  attempt.sent = now;
   change(now, id, [&](Item& item) {
+    attempt.by = find(id)->group.shape().self;
     item.attempts.push_back(std::move(attempt));
     return true;
   });
@@ -194,6 +196,7 @@
 }
 
 void Copies::over(Time now, const std::string& id) {
+  alone_.erase(id);
   change(now, id, [](Item& item) {
     const bool changes = item.live();
     item.over = true;
@@ -204,26 +207,18 @@
 
 bool Copies::may_call(Time now, const std::string& id) const {
   const Held* held = find(id);
-  return !held || held->group.may_call(id, now);
+  return held ? held->group.may_call(id, now) : alone_.contains(id);
 }
 
 bool Copies::is_own(const std::string& id) const {
   const Held* held = find(id);
-  return !held || held->group.owns();
+  return held ? held->group.owns() : alone_.contains(id);
 }
 
 // --------------------------------------------------------------------------------------------- tickets
 
 std::uint64_t Copies::await(Time now, std::vector<std::string> ids, Need need) {
-  Time until = now + settings_.answer_within;
-  if (need == Need::tell) {
-    for (const std::string& id : ids) {
-      const Held* held = find(id);
-      const Item* item = held ? held->group.find(id) : nullptr;
-      if (item) until = std::max(until, item->until);
-    }
-  }
-  tickets_.push_back({++last_ticket_, std::move(ids), need, until});
+  tickets_.push_back({++last_ticket_, std::move(ids), need, now + settings_.answer_within});
   return last_ticket_;
 }
 
@@ -231,8 +226,8 @@
   for (const std::string& id : ticket.ids) {
     const Held* held = find(id);
     const Item* item = held ? held->group.find(id) : nullptr;
-    if (!item || (item->over && ticket.need != Need::tell)) continue;  // the relay knows by itself
-    if (!held->group.owns()) return Answer::bad;
+    if (!item && alone_.contains(id)) continue;
+    if (!item || !held->group.owns() || (item->over && ticket.need != Need::tell)) return Answer::bad;
     if (ticket.need == Need::promise) {
       if (held->group.held(id, true) >= held->head.copies) continue;
       for (Place p = 1; p <= held->head.copies; ++p) {
@@ -264,7 +259,7 @@
   for (Ticket& t : tickets_) {
     Answer a = answer(now, t);
     if (a == Answer::wait && now >= t.until) {
-      if (t.need != Need::tell) late(now, t);
+      late(now, t);
       a = Answer::bad;
     }
     if (a == Answer::bad && t.need == Need::promise && settings_.on_shortage == Shortage::accept) {
@@ -308,8 +303,7 @@
                       place_of(*word.head, from) < kVoters;
     if (word.say.kind == Kind::append && mine) {
       Group group(settings_, {self, word.head->copies}, {}, Group::Start::opened, now);
-      at = groups_.emplace(word.group, Held{*word.head, std::move(group), now, now, true, {}, {}, {}, {}})
-               .first;
+      at = groups_.emplace(word.group, Held{*word.head, std::move(group), now, now, true, {}, {}, {}}).first;
       records_.push_back({word.group, ToRecord::What::group, {}});
       look_at_ = std::min(look_at_, now + kLook);
     } else if (word.say.kind == Kind::append || word.say.kind == Kind::ask) {
@@ -352,33 +346,39 @@
       return full;
     });
   }
-  held.group.receive(now, say);
-  settle(now, at);
+  // The quickest word of this connection tells best what the other's clock shows.
+  const auto [offset, first] = offsets_.try_emplace(from, now - word.say.at);
+  offset->second = std::min(offset->second, now - word.say.at);
+  held.group.receive(now, say, offset->second);
+  settle(at);
 }
 
 void Copies::connected(Time now, const std::string& name) {
+  offsets_.erase(name);
   for (auto at = groups_.begin(); at != groups_.end(); ++at) {
     const Place p = place_of(at->second.head, name);
     if (p >= kVoters || p == at->second.group.shape().self) continue;
     at->second.group.reconnected(p);
     at->second.group.flush(now);
-    settle(now, at);
+    settle(at);
   }
 }
 
 // --------------------------------------------------------------------------------------------- turns
 
-void Copies::hand_out(Time, Groups::iterator at, const std::string& id) {
+void Copies::hand_out(Groups::iterator at, const std::string& id) {
   const Item& item = *at->second.group.find(id);
   if (item.owed) {
     events_.emplace_back(Expired{id, *item.owed});
     return;
   }
   ++counters_.inherited;
-  events_.emplace_back(Inherited{id, item});
+  Inherited inherited{id, item, {}};
+  for (const Attempt& a : item.attempts) inherited.astray.push_back(at->second.group.astray(a));
+  events_.emplace_back(std::move(inherited));
 }
 
-void Copies::settle(Time now, Groups::iterator at) {
+void Copies::settle(Groups::iterator at) {
   Held& held = at->second;
   Group& group = held.group;
   const Group::Turn turn = group.take_turn();
@@ -390,7 +390,6 @@
     if (!item) {
       where_.erase(id);
       held.expired.erase(id);
-      held.waiting.erase(id);
       continue;
     }
     where_.emplace(id, at->first);
@@ -402,7 +401,6 @@
                                " from now on, epoch " + std::to_string(group.epoch()) + ", " +
                                std::to_string(group.live_count()) + " without an end"});
     held.sealed = true;
-    held.waiting.clear();
     for (const auto& [id, item] : group.items()) events_.emplace_back(Lost{id});
   }
   if (turn == Group::Turn::won) {
@@ -411,14 +409,7 @@
                                std::to_string(group.epoch()) + ", " + std::to_string(group.live_count()) +
                                " without an end"});
     for (const auto& [id, item] : group.items()) {
-      if (!item.live()) continue;
-      const bool waits = !item.owed && item.payload && !item.payload->once && group.calls_may_be_out() &&
-                         group.free_at(item) > now;
-      if (waits) {
-        held.waiting.insert(id);
-      } else {
-        hand_out(now, at, id);
-      }
+      if (item.live()) hand_out(at, id);
     }
   }
   for (auto& [to, say] : group.take()) {
@@ -436,18 +427,11 @@
   for (const auto& [id, item] : held.group.items()) {
     if (!item.live() || now < item.until + settings_.notice_after || !held.expired.insert(id).second)
       continue;
-    held.waiting.erase(id);
     ++counters_.expired;
     events_.emplace_back(Expired{id, item.owed.value_or(Owed{})});
   }
-  std::erase_if(held.waiting, [&](const std::string& id) {
-    const Item* item = held.group.find(id);
-    if (item && held.group.free_at(*item) > now) return false;
-    if (item && item->live()) hand_out(now, at, id);
-    return true;
-  });
   held.group.prune(now, kRemembered);
-  settle(now, at);
+  settle(at);
   held.sealed = held.sealed || now > held.opened + settings_.group_for;
 }
 
@@ -455,7 +439,7 @@
   for (auto at = groups_.begin(); at != groups_.end(); ++at) {
     if (at->second.group.next_wake() > now) continue;
     at->second.group.wake(now);
-    settle(now, at);
+    settle(at);
   }
   if (now >= look_at_) {
     bool any = false;
@@ -490,7 +474,7 @@
 void Copies::flush(Time now) {
   for (auto at = groups_.begin(); at != groups_.end(); ++at) {
     at->second.group.flush(now);
-    settle(now, at);
+    settle(at);
   }
   judge_tickets(now);
 }
@@ -540,6 +524,11 @@
   return all;
 }
 
+std::optional<GroupId> Copies::group_of(const std::string& id) const {
+  const auto found = where_.find(id);
+  return found == where_.end() ? std::nullopt : std::optional(found->second);
+}
+
 std::vector<Copies::GroupState> Copies::groups(Time now) const {
   std::vector<GroupState> all;
   for (const auto& [id, held] : groups_) {
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -67,6 +67,7 @@
 struct Inherited {  // to be brought to its end here; without a body it can only be given up
   std::string id;
   Item item;
+  std::vector<bool> astray;  // by attempt: its call may be out still, for as long as its partner likes
 };
 struct Lost {  // another may act on it now: nothing more is sent, answered or told for it here
   std::string id;
@@ -103,6 +104,8 @@
   // ------------------------------------------------------------------ what the relay holds
   enum class Taken : std::uint8_t { placed, alone, refused };
   Taken take(Time now, const std::string& id, Item item);
+  // One that this relay holds with nobody else, as it found it in its journal. Until over().
+  void keep_alone(const std::string& id) { alone_.insert(id); }
   void attempt(Time now, const std::string& id, Attempt attempt);
   void fate(Time now, const std::string& id, std::size_t attempt, Fate fate);
   void owe(Time now, const std::string& id, Owed owed);
@@ -111,11 +114,12 @@
   enum class Need : std::uint8_t {
     promise,  // the bodies are with as many as the settings ask for
     act,      // the newest state is known to another one, and this one leads
-    tell,     // as act, for a notice: it waits for as long as the message has time
+    tell,     // as act, for a notice
   };
   // A Done event follows, not before the caller has returned to take_events().
   std::uint64_t await(Time now, std::vector<std::string> ids, Need need);
-  // Whether the last attempt of this message may leave now. Also of those that are not copied.
+  // Whether the last attempt of this message may leave now. Of one that is forgotten, for its time is long
+  // over, none may: a process that was stopped may wake up with it.
   bool may_call(Time now, const std::string& id) const;
   // What is known of it here, as owner or for somebody, until some time after its deadline. None: nothing.
   const Item* look(const std::string& id) const;
@@ -154,6 +158,7 @@
     bool owns = false, leads = false, sealed = false;
   };
   std::vector<GroupState> groups(Time now) const;
+  std::optional<GroupId> group_of(const std::string& id) const;
   std::size_t bytes_held() const { return held_bytes_; }
   std::uint64_t life() const { return self_.seat.life; }
 
@@ -165,7 +170,6 @@
     bool sealed = false;                         // takes no more messages
     std::array<bool, kVoters> knows{};           // has answered in it
     std::array<bool, kVoters> useless{};         // does not know it any more
-    std::set<std::string> waiting;               // inherited, but a call may be out still
     std::set<std::string, std::less<>> expired;  // their notice is told
   };
   using Groups = std::map<GroupId, Held>;
@@ -182,9 +186,9 @@
   const Held* find(const std::string& id) const;
   template <typename Change>
   void change(Time now, const std::string& id, Change&& how);
-  void settle(Time now, Groups::iterator at);  // after anything that a group has heard or done
+  void settle(Groups::iterator at);  // after anything that a group has heard or done
   void look_at(Time now, Groups::iterator at);
-  void hand_out(Time now, Groups::iterator at, const std::string& id);
+  void hand_out(Groups::iterator at, const std::string& id);
   enum class Answer : std::uint8_t { wait, good, bad };
   Answer answer(Time now, const Ticket& ticket);
   void judge_tickets(Time now);
@@ -200,9 +204,12 @@
   std::mt19937_64 engine_;
   std::vector<Candidate> candidates_;
   std::map<std::string, Time, std::less<>> avoided_;
+  std::map<std::string, Duration, std::less<>>
+      offsets_;  // least of what words of a connection took, by both clocks
   Groups groups_;
   std::vector<std::optional<GroupId>> current_;  // by shard
   std::map<std::string, GroupId, std::less<>> where_;
+  std::set<std::string, std::less<>> alone_;
   std::vector<Ticket> tickets_;
   std::uint64_t last_ticket_ = 0;
   Time look_at_{};  // next sweep over what is held
--- a/copies/group.cpp
+++ b/copies/group.cpp
@@ -19,8 +19,13 @@
     if (broken(Without::promise)) durable_ = {1, 0, std::move(durable_.items)};
     // Whom it is bound to is on disk, for how long is not: as if it had been bound this moment. Its own
     // ownership ended with its process, and its calls did: it may ask for a new one at once.
-    own_start_ = durable_.owner == shape_.self;
-    if (!own_start_ && !broken(Without::restart_wait)) bound_until_ = now + settings_.lease;
+    const bool own = durable_.owner == shape_.self;
+    if (!own && !broken(Without::restart_wait)) bound_until_ = now + settings_.lease;
+    for (auto& [id, item] : durable_.items) {
+      for (Attempt& a : item.attempts) {
+        if (a.by == shape_.self && a.fate == Fate::out) a.fate = Fate::may_have_run;
+      }
+    }
   }
   seen_ = durable_.promised;
   for (const auto& [id, item] : durable_.items) live_ += item.live() ? 1 : 0;
@@ -39,8 +44,7 @@
 bool Group::may_call(std::string_view id, Time now) const {
   const Item* item = find(id);
   if (!item || item->over || item->attempts.empty() || !leads(now)) return false;
-  return broken(Without::intents) ||
-         (held(id, false) > 0 && now < item->attempts.back().known + settings_.lease);
+  return broken(Without::intents) || held(id, false) > 0;
 }
 
 void Group::put(std::string id, Item item) {
@@ -102,24 +106,24 @@
 
 Say Group::say(Time now, Kind kind) const { return {kind, shape_.self, durable_.promised, now, {}, {}}; }
 
-void Group::receive(Time now, const Say& s) {
+void Group::receive(Time now, const Say& s, Duration shift) {
   if (s.from >= kVoters || s.from == shape_.self) return;
   seen_ = std::max(seen_, s.epoch);
   switch (s.kind) {
     case Kind::append:
-      return on_append(now, s);
+      return on_append(now, s, shift);
     case Kind::ack:
       return on_ack(now, s);
     case Kind::ask:
       return on_ask(now, s);
     case Kind::vote:
-      return on_vote(now, s);
+      return on_vote(now, s, shift);
     case Kind::refuse:
       return on_refuse(s);
   }
 }
 
-void Group::on_append(Time now, const Say& s) {
+void Group::on_append(Time now, const Say& s, Duration shift) {
   const bool newer = s.epoch > durable_.promised;
   const bool own = s.epoch == durable_.promised && s.from == durable_.owner;
   if (!newer && !own && !broken(Without::fence)) {
@@ -127,8 +131,7 @@
     return;
   }
   step_down();
-  own_start_ = false;
-  merge(now, s);
+  merge(s, shift);
   if (newer) promise(s.epoch, s.from);
   bound_until_ = now + settings_.lease;
   asked_ = 0;
@@ -162,7 +165,6 @@
   }
   step_down();
   promise(s.epoch, s.from);
-  own_start_ = false;
   Say answer = say(now, Kind::vote);
   if (!broken(Without::merge)) answer.items = durable_.items;
   out_.emplace_back(s.from, std::move(answer));
@@ -170,9 +172,9 @@
 
 // Its own vote is given here and not when it asked: until then it may still have been bound by another's
 // word.
-void Group::on_vote(Time now, const Say& s) {
+void Group::on_vote(Time now, const Say& s, Duration shift) {
   if (owns_ || asked_ == 0 || s.epoch != asked_ || s.epoch <= durable_.promised || now < bound_until_) return;
-  merge(now, s);
+  merge(s, shift);
   win(now);
 }
 
@@ -197,19 +199,16 @@
 }
 
 // Each state of an item holds all that those before it held, so the newest is all that is known.
-void Group::merge(Time now, const Say& s) {
-  const Duration shift = now - s.at;
+void Group::merge(const Say& s, Duration shift) {
   for (const auto& [id, told] : s.items) {
     const Item* own = find(id);
     const bool newer = !own || own->stamp < told.stamp;
     const bool body = own && !own->over && !own->payload && told.payload;
     if (!newer && !body) continue;
-    // Its calls are not those of this one's earlier process.
-    if (told.stamp.epoch > durable_.promised) own_start_ = false;
     Item item = newer ? told : *own;
     if (newer) {
-      item.until += shift;
-      for (Attempt& a : item.attempts) a.known += shift;
+      item.until = std::min(item.until + shift, own ? own->until : Time::max());
+      for (Attempt& a : item.attempts) a.sent += shift;
     }
     if (!item.payload) item.payload = own ? own->payload : told.payload;
     if (body) item.payload = told.payload;
@@ -239,13 +238,8 @@
   changed_.promise = true;
 }
 
-Time Group::free_at(const Item& item) const {
-  if (broken(Without::hold)) return {};
-  Time free{};
-  for (const Attempt& a : item.attempts) {
-    if (a.fate == Fate::out) free = std::max(free, a.known + settings_.lease + a.timeout);
-  }
-  return free;
+bool Group::astray(const Attempt& a) const {
+  return a.fate == Fate::out && a.by != shape_.self && !broken(Without::astray);
 }
 
 void Group::wake(Time now) {
@@ -304,7 +298,7 @@
   const auto ahead = [&](Time t) {
     number(t > now ? static_cast<std::uint64_t>((t - now) / 1ms) / 10 + 1 : 0);
   };
-  number((owns_ ? 1 : 0) + (own_start_ ? 2 : 0));
+  number(owns_ ? 1 : 0);
   number(durable_.promised);
   number(durable_.owner);
   number(seen_);
@@ -318,7 +312,7 @@
     number((item.over ? 1 : 0) + (item.payload ? 2 : 0));
     for (const Attempt& a : item.attempts) {
       number(static_cast<std::uint64_t>(a.fate));
-      ahead(a.known + settings_.lease + a.timeout);
+      number(a.by);
     }
   }
   if (!owns_) return;
--- a/copies/group.h
+++ b/copies/group.h
@@ -62,8 +62,7 @@
   bool owns() const { return owns_; }
   // Whether it may act now.
   bool leads(Time now) const;
-  // Whether the last attempt of this message may leave now: its intent is held elsewhere, and is no older
-  // than a lease, so that others can tell from their own clocks when its call can't be out any more.
+  // Whether the last attempt of this message may leave now: it leads, and its intent is held elsewhere.
   bool may_call(std::string_view id, Time now) const;
   // A message that is new, or of which something is new; the stamp is put here. Goes out with the next
   // flush().
@@ -74,7 +73,9 @@
   bool has_newest(Place other, std::string_view id) const;
 
   // ------------------------------------------------------------------ events
-  void receive(Time now, const Say& say);
+  // `shift`: what the sender's clock shows is so much earlier on this one. Not how long this word took: it
+  // may have lain for seconds before a process that was stopped.
+  void receive(Time now, const Say& say, Duration shift);
   void wake(Time now);
   // What has changed since goes to the others; with nothing to send, nothing.
   void flush(Time now);
@@ -95,11 +96,9 @@
   // What became of the ownership since: at most one of them holds.
   enum class Turn : std::uint8_t { none, won, lost };
   Turn take_turn() { return std::exchange(turn_, Turn::none); }
-  // Of one that has just won: whether calls of an owner before it may still be out. Not where it has begun
-  // anew itself, for its calls ended with its process.
-  bool calls_may_be_out() const { return !own_start_; }
-  // When the last call of an item can't be out any more.
-  Time free_at(const Item& item) const;
+  // Whether a call of this attempt may be out, with nobody here who could end it: of another member that may
+  // be stopped. It is out for as long as its partner likes.
+  bool astray(const Attempt& attempt) const;
 
   // Forgets what had its time until `keep` before `now`: whoever held it has seen to its end.
   void prune(Time now, Duration keep);
@@ -126,12 +125,12 @@
 
   void append(Time now, Place to);
   void win(Time now);
-  void on_append(Time now, const Say& say);
+  void on_append(Time now, const Say& say, Duration shift);
   void on_ack(Time now, const Say& say);
   void on_ask(Time now, const Say& say);
-  void on_vote(Time now, const Say& say);
+  void on_vote(Time now, const Say& say, Duration shift);
   void on_refuse(const Say& say);
-  void merge(Time now, const Say& say);
+  void merge(const Say& say, Duration shift);
   void store(const std::string& id, Item item);
   void step_down();
   void promise(std::uint64_t epoch, Place owner);
@@ -141,7 +140,7 @@
   Settings settings_;
   Shape shape_;
   Durable durable_;
-  bool owns_ = false, own_start_ = false;
+  bool owns_ = false;
   std::uint64_t revision_ = 0;
   std::uint64_t seen_ = 0;   // highest epoch heard of
   std::uint64_t asked_ = 0;  // epoch that votes are asked for; 0: none
--- a/copies/types.h
+++ b/copies/types.h
@@ -18,6 +18,11 @@
 using membership::Duration;
 using membership::Time;
 
+// Those who know of a group's messages: the origin, and two that it has chosen. It never changes: for other
+// members the origin opens another group.
+constexpr std::size_t kVoters = 3;
+using Place = std::uint8_t;  // of a member in its group; 0: the origin
+
 // A message as its client handed it in. It does not change.
 struct Payload {
   std::string id, cls, key, body;
@@ -30,8 +35,8 @@
 
 struct Attempt {
   std::string host, zone;
-  Duration timeout{};  // that its call is given up after, from when it leaves
-  Time known{};        // when this member learned that it would be made: never before the origin knew
+  Time sent{};  // on this member's clock
+  Place by = 0;
   Fate fate = Fate::out;
   auto operator<=>(const Attempt&) const = default;
 };
@@ -62,11 +67,6 @@
 };
 using Items = std::map<std::string, Item, std::less<>>;
 
-// Those who know of a group's messages: the origin, and two that it has chosen. It never changes: for other
-// members the origin opens another group.
-constexpr std::size_t kVoters = 3;
-using Place = std::uint8_t;  // of a member in its group; 0: the origin
-
 struct Shape {
   Place self = 0;
   unsigned copies = 2;  // of the two others, how many have the messages' bodies too
@@ -86,7 +86,7 @@
   fence,         // what an earlier owner says is still taken
   merge,         // a vote brings nothing of what the voter knows
   amnesia,       // one that has lost its folder votes
-  hold,          // what may still be out is sent again at once
+  astray,        // what may still be out is sent again
 };
 
 struct WithoutName {
@@ -99,7 +99,7 @@
     {"patience", Without::patience}, {"majority", Without::majority},
     {"promise", Without::promise},   {"restart_wait", Without::restart_wait},
     {"fence", Without::fence},       {"merge", Without::merge},
-    {"amnesia", Without::amnesia},   {"hold", Without::hold}};
+    {"amnesia", Without::amnesia},   {"astray", Without::astray}};
 
 struct Settings {
   Duration lease = std::chrono::milliseconds(1000);  // that an acknowledgement binds its sender for
--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -103,6 +103,9 @@
   bool out = false;           // that process lives, and its call has no outcome yet
   HostId host{};              // of what is out
   std::uint64_t call = 0;     // attempts of equal number share one call
+  // Its relay may be stopped with the call out: nobody can tell when it ends, nor end it. Goes with
+  // may_have_run.
+  bool astray = false;
 };
 
 // What is learned of hosts that share a limit, and of one host: what a process hands to the one that takes
--- a/lab/checker.cpp
+++ b/lab/checker.cpp
@@ -281,7 +281,7 @@
     if (slack_.copied) {
       const std::uint32_t by = m->attempts.empty() ? m->relay : m->attempts.back().relay;
       const auto up = ready_.find(by);
-      const bool away = stalled_.contains(by) || (up != ready_.end() && up->second + slack_.heirs > due.at);
+      const bool away = stalled_.contains(by) || (up != ready_.end() && up->second > due.at - slack_.heirs);
       if (due.rule == Rule::held_back && away && now < due.at + slack_.heirs) {
         due_.push({due.at + slack_.heirs, due.message, due.rule});
       } else {
--- a/lab/ownership.cpp
+++ b/lab/ownership.cpp
@@ -27,7 +27,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration kTick = 500ms;
-constexpr Duration kTimeout = 2 * kTick;  // of a call: longer than a lease, so that it may outlast one
 constexpr char kId[] = "m";
 const char* const kNames[] = {"origin", "first", "second"};
 
@@ -55,9 +54,8 @@
   bool inherited = false;  // it has won, and not looked at what it won yet
 };
 
-struct Call {
+struct Call {  // it ends as its process sees it end, or with that; never while it is stopped
   Place by = 0;
-  Time ends{};
 };
 
 struct World {
@@ -140,7 +138,7 @@
     item.payload =
         std::make_shared<const copies::Payload>(copies::Payload{kId, "class", "", "body", 1, bounds_.once});
     item.until = w.now + 3600s;
-    item.attempts.push_back({"host", "zone", kTimeout, w.now, copies::Fate::out});
+    item.attempts.push_back({"host", "zone", w.now, 0, copies::Fate::out});
     w.nodes[0].group->put(kId, std::move(item));
     w.nodes[0].group->flush(w.now);
     collect(w, 0);
@@ -178,11 +176,10 @@
       out += static_cast<char>(n.called);
       out += n.inherited ? 'i' : '-';
       if (n.group) n.group->describe(w.now, out);
-      if (n.disk) describe(*n.disk, w.now, out);
+      if (n.disk) describe(*n.disk, out);
     }
     for (const Call& c : w.out) {
       out += static_cast<char>(c.by);
-      out += static_cast<char>((c.ends - w.now) / (kTick / 5));
     }
     out += {'|',
             static_cast<char>(w.calls),
@@ -197,20 +194,18 @@
     return out;
   }
 
-  void describe(const Group::Durable& d, Time now, std::string& out) const {
+  static void describe(const Group::Durable& d, std::string& out) {
     out += static_cast<char>(d.promised);
     out += static_cast<char>(d.owner);
-    describe(d.items, now, out);
+    describe(d.items, out);
   }
 
-  void describe(const copies::Items& items, Time now, std::string& out) const {
+  static void describe(const copies::Items& items, std::string& out) {
     for (const auto& [id, item] : items) {
       out += {static_cast<char>(item.stamp.epoch), static_cast<char>(item.stamp.revision),
               static_cast<char>((item.over ? 1 : 0) + (item.payload ? 2 : 0))};
-      for (const copies::Attempt& a : item.attempts) {
-        const Time free = a.known + settings_.lease + a.timeout;
-        out += {static_cast<char>(a.fate), static_cast<char>(free > now ? (free - now) / (kTick / 5) : 0)};
-      }
+      for (const copies::Attempt& a : item.attempts)
+        out += {static_cast<char>(a.fate), static_cast<char>(a.by)};
     }
   }
 
@@ -224,7 +219,7 @@
       out += static_cast<char>(now < f.say.at + settings_.lease ? age(f.say.at) : 100);
     if (f.say.kind == Kind::ack)
       out += static_cast<char>(now < f.say.echo + settings_.lease ? age(f.say.echo) : 100);
-    describe(f.say.items, now, out);
+    describe(f.say.items, out);
     return out;
   }
 
@@ -319,7 +314,6 @@
     if ((w.now - Time(100s)) / kTick < bounds_.ticks) {
       World next = w;
       next.now += kTick;
-      std::erase_if(next.out, [&](const Call& c) { return c.ends <= next.now; });
       add("time passes", std::move(next));
     }
     return all;
@@ -332,7 +326,7 @@
     Group& group = *next.nodes[f.to].group;
     std::string before, after;
     group.describe(w.now, before);
-    group.receive(w.now, f.say);
+    group.receive(w.now, f.say, {});
     collect(next, f.to);
     group.describe(w.now, after);
     if (before == after && next.frames.size() == w.frames.size()) return;
@@ -372,19 +366,19 @@
       if (!w.out.empty()) broken = "two calls of the message are out at once";
       if (bounds_.once && w.ran > 0) broken = "work that may not be repeated is sent twice";
       if (next.calls > attempt) broken = "more calls have left than are counted";
-      next.out.push_back({p, w.now + kTimeout});
+      next.out.push_back({p});
       add(std::string(kNames[p]) + " calls the partner, attempt " + std::to_string(attempt), std::move(next));
       if (!broken.empty()) all.back().broken = broken;
     }
     // What was not held elsewhere in time is not sent. Another attempt may be made of what is not out.
-    const bool stale = attempt > n.called && w.now >= item->attempts.back().known + settings_.lease;
+    const bool stale = attempt > n.called && w.now >= item->attempts.back().sent + settings_.lease;
     const bool ended = item->attempts.back().fate != copies::Fate::out;
     if ((stale || ended) && attempt < bounds_.attempts) {
       World next = w;
       Node& node = next.nodes[p];
       copies::Item changed = *item;
       if (stale) changed.attempts.back().fate = copies::Fate::never_ran;
-      changed.attempts.push_back({"host", "zone", kTimeout, w.now, copies::Fate::out});
+      changed.attempts.push_back({"host", "zone", w.now, p, copies::Fate::out});
       node.called = attempt;
       node.group->put(kId, std::move(changed));
       node.group->flush(w.now);
@@ -393,38 +387,33 @@
     }
   }
 
-  // As the relay does with what it is given: what may have run and may not be repeated ends as failed, the
-  // rest is sent again once no call of another can be out.
+  // As the relay does with what it is given: what may have run and may not be repeated ends as failed, what
+  // may still be out goes back to its client, the rest is sent again.
   template <typename Add>
   void inherit(const World& w, Place p, Add& add) {
     const copies::Item& item = *w.nodes[p].group->find(kId);
-    const bool unknown =
-        std::ranges::any_of(item.attempts, [](const auto& a) { return a.fate != copies::Fate::never_ran; });
+    const auto unknown = [](const copies::Attempt& a) { return a.fate != copies::Fate::never_ran; };
+    const auto astray = [&](const copies::Attempt& a) { return w.nodes[p].group->astray(a); };
     World next = w;
     Node& n = next.nodes[p];
     copies::Item changed = item;
-    for (copies::Attempt& a : changed.attempts) {
-      if (a.fate == copies::Fate::out) a.fate = copies::Fate::may_have_run;
-    }
     n.inherited = false;
     n.called = static_cast<unsigned>(item.attempts.size());
-    const bool none_left = item.attempts.size() >= bounds_.attempts;
-    if ((bounds_.once && unknown) || none_left || !item.payload) {
-      changed.over = true;
+    const bool none_left = item.attempts.size() >= bounds_.attempts || !item.payload;
+    changed.over = none_left || (bounds_.once && std::ranges::any_of(item.attempts, unknown)) ||
+                   std::ranges::any_of(item.attempts, astray);
+    if (changed.over) {
       next.over = true;
       ++result_.ends_unknown;
-      n.group->put(kId, std::move(changed));
-      n.group->flush(w.now);
-      collect(next, p);
-      add(std::string(kNames[p]) + " ends the message as failed", std::move(next));
-      return;
+    } else {
+      changed.attempts.push_back({"host", "zone", w.now, p, copies::Fate::out});
     }
-    if (n.group->calls_may_be_out() && w.now < n.group->free_at(item)) return;
-    changed.attempts.push_back({"host", "zone", kTimeout, w.now, copies::Fate::out});
+    const bool over = changed.over;
     n.group->put(kId, std::move(changed));
     n.group->flush(w.now);
     collect(next, p);
-    add(std::string(kNames[p]) + " means to send it again", std::move(next));
+    add(std::string(kNames[p]) + (over ? " ends the message undelivered" : " means to send it again"),
+        std::move(next));
   }
 
   template <typename Add>
@@ -440,7 +429,8 @@
       next.over = next.over || how == delivered;
       next.ran -= how == turned_away ? 1 : 0;
       Group& group = *next.nodes[by].group;
-      if (group.owns() && item && !item->over && item->attempts.size() == n.called) {
+      if (group.owns() && item && !item->over && item->attempts.size() == n.called &&
+          item->attempts.back().by == by) {
         copies::Item changed = *item;
         changed.attempts.back().fate =
             how == turned_away ? copies::Fate::never_ran : copies::Fate::may_have_run;
--- a/relay/commands.cpp
+++ b/relay/commands.cpp
@@ -148,6 +148,12 @@
         {"warm_after_ms", json::value(ms(s.warm_after)), file},
         {"fleet", json::value(c.fleet ? c.fleet->settings.fleet : "off"), c.fleet ? file : "default"},
     };
+    rows.push_back({"copies", json::value(c.copies ? std::to_string(c.copies->settings.copies) : "off"),
+                    c.copies ? file : "default"});
+    if (c.copies) {
+      rows.push_back({"copies_bind", json::value(to_text(c.copies->bind)), file});
+      rows.push_back({"copies_disk_bytes", json::value(c.copies_disk), file});
+    }
     if (c.fleet) {
       rows.push_back({"fleet_bind", json::value(to_text(c.fleet->bind)), file});
       rows.push_back({"fleet_advertise", json::value(to_text(c.fleet->advertise)), file});
@@ -235,8 +241,8 @@
 struct View : Call {
   std::vector<std::string> others;  // second addresses to hold side by side
 
-  static json::object fetch(const Endpoint& at) {
-    const std::optional<std::string> reply = ask(at, "FLEET", kMostView);
+  static json::object fetch(const Endpoint& at, const std::string& what = "FLEET") {
+    const std::optional<std::string> reply = ask(at, what, kMostView);
     if (!reply) throw Nobody{text_of(at)};
     if (!reply->starts_with("ACK ")) throw No{*reply};
     return json::parse(std::string_view(*reply).substr(4)).as_object();
@@ -312,12 +318,35 @@
     return all.empty() ? 0 : kNo;
   }
 
+  static void show_copies(const json::object& v) {
+    const json::object& c = v.at("counters").as_object();
+    std::printf("messages: %s of its own with others, %s held for others (%s bytes), %s inherited\n",
+                of(v, "own").c_str(), of(v, "held").c_str(), of(v, "bytes_held").c_str(),
+                of(v, "inherited").c_str());
+    std::printf(
+        "shortages: %s refused, %s taken with too few, %s with none; waits that ran out %s, no room %s\n",
+        of(c, "refused").c_str(), of(c, "short").c_str(), of(c, "alone").c_str(), of(c, "late").c_str(),
+        of(c, "no_room").c_str());
+    std::printf("%-16s %-16s %-8s %-8s %-9s %s\n", "origin", "owner", "epoch", "leads", "messages",
+                "members (the first one is the origin)");
+    for (const json::value& value : v.at("groups").as_array()) {
+      const json::object& g = value.as_object();
+      std::string members;
+      for (const json::value& m : g.at("members").as_array()) members += std::string(m.as_string()) + " ";
+      std::printf("%-16s %-16s %-8s %-8s %-9s %s%s\n", of(g, "origin").c_str(), of(g, "owner").c_str(),
+                  of(g, "epoch").c_str(), g.at("leads").as_bool() ? "yes" : "", of(g, "messages").c_str(),
+                  members.c_str(), g.at("open").as_bool() ? "(takes new ones)" : "");
+    }
+  }
+
   int operator()() const {
     try {
       if (!others.empty()) return diff();
-      const json::object v = fetch(address());
+      const json::object v = fetch(address(), verb);
       if (as_json) {
         std::cout << json::serialize(v) << '\n';
+      } else if (verb == "COPIES") {
+        show_copies(v);
       } else {
         show(v);
       }
@@ -488,15 +517,25 @@
 
   CLI::App* fleet =
       app.add_subcommand("fleet", "Show the fleet as one relay sees it, or where several differ");
-  const auto view = std::make_shared<View>();
-  fleet->add_option("--admin", view->admin,
+  const auto add_view = [&](CLI::App* sub, const char* verb) {
+    const auto view = std::make_shared<View>();
+    view->verb = verb;
+    sub->add_option("--admin", view->admin,
                     "Second address, as 127.0.0.1:7171; else PROXY_ADMIN_ADDR, else the configuration's");
-  fleet->add_option("--config", view->config, "Configuration that names it; else PROXY_CONFIG");
-  fleet->add_flag("--json", view->as_json, "Print one JSON object");
+    sub->add_option("--config", view->config, "Configuration that names it; else PROXY_CONFIG");
+    sub->add_flag("--json", view->as_json, "Print one JSON object");
+    return view;
+  };
+  const auto view = add_view(fleet, "FLEET");
   fleet->add_option("--diff", view->others, "Second addresses of relays whose views are held side by side")
       ->expected(2, 1000);
   fleet->callback([view, &status] { status = (*view)(); });
 
+  CLI::App* copies = app.add_subcommand(
+      "copies", "Show what a relay holds for others and they for it, and who may act on it");
+  const auto copies_view = add_view(copies, "COPIES");
+  copies->callback([copies_view, &status] { status = (*copies_view)(); });
+
   CLI::App* journal = app.add_subcommand(
       "journal", "Look at what a relay has taken on; only reads, beside a living relay too");
   journal->require_subcommand(1);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -133,6 +133,7 @@
     if (copies_ && copies_->copies().look(stored.id)) {
       waiting_.emplace(stored.id, Waiting{stored, call ? std::optional(*call) : std::nullopt});
     } else {
+      if (copies_) copies_->copies().keep_alone(stored.id);
       take_up(stored, call);
     }
   }
@@ -205,7 +206,7 @@
 }
 
 // What an earlier process had taken on, with what it knew of the message's attempts.
-void Relay::take_up(const StoredMessage& stored, const OutCall* out) {
+void Relay::take_up(const StoredMessage& stored, const OutCall* out, const std::vector<bool>& astray) {
   const auto cls = config_.dialect.classes.find(stored.cls);
   if (!cls) {  // the class is gone from the settings: nobody can say what a repeat would do
     const Notice notice{stored.id, false, {}};
@@ -229,6 +230,8 @@
   for (const StoredAttempt& attempt : stored.attempts) {
     message.past.push_back({vetchhinge::ZoneId{config_.dialect.zones.number(attempt.zone)},
                             here(attempt.sent), attempt.may_have_run});
+    const std::size_t n = message.past.size() - 1;
+    message.past.back().astray = n < astray.size() && astray[n];
   }
   if (out && out->attempt < message.past.size()) message.past[out->attempt] = past(open_.at(id), *out);
   events_.emplace_back(std::move(message));
@@ -594,8 +597,7 @@
   journal_.attempt(open.payload->id,
                    {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
   if (copies_)
-    copy_attempt(open, config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone,
-                 send.timeout);
+    copy_attempt(open, config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone);
 }
 
 void Relay::not_sent(const Calls& calls) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -117,7 +117,7 @@
   void listed(const ListUpdate& update);
   void watch_lost();
   vetchhinge::HostList take_list(const ListUpdate& update);
-  void take_up(const StoredMessage& stored, const OutCall* out);
+  void take_up(const StoredMessage& stored, const OutCall* out, const std::vector<bool>& astray = {});
   void take_up_out(const OutCall& out);
   vetchhinge::PastAttempt past(Open& open, const OutCall& out);
   std::vector<OutCall> calls_out() const;
@@ -157,8 +157,7 @@
   void make_copies();
   bool copied_elsewhere(const HandIn& message, const Server::Respond& respond) const;
   bool copy(const Open& open);
-  void copy_attempt(const Open& open, const std::string& host, const std::string& zone,
-                    vetchhinge::Duration timeout);
+  void copy_attempt(const Open& open, const std::string& host, const std::string& zone);
   void promise(vetchhinge::MessageId id);
   void take_back(vetchhinge::MessageId id);
   void call_when_known(Calls calls);
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -55,9 +55,8 @@
          copies::Copies::Taken::refused;
 }
 
-void Relay::copy_attempt(const Open& open, const std::string& host, const std::string& zone,
-                         Duration timeout) {
-  copies_->copies().attempt(CopyNet::now(), open.payload->id, {host, zone, timeout, {}, copies::Fate::out});
+void Relay::copy_attempt(const Open& open, const std::string& host, const std::string& zone) {
+  copies_->copies().attempt(CopyNet::now(), open.payload->id, {host, zone});
 }
 
 void Relay::promise(MessageId id) {
@@ -100,13 +99,19 @@
   host_client_.call(call.host, hosts_.at(call.host).address, call.items);
 }
 
-// A notice that hands a message back makes its client come again, so that nobody may send it any more by
-// then.
+// Handed back, its client comes with it again: work that may not be repeated must not be sent by others any
+// more by then. All other notices do no harm to what others may do.
 void Relay::tell(Notice notice) {
   if (!copies_) return discovery_.send(std::move(notice));
+  const copies::Item* item = copies_->copies().look(notice.message);
+  const bool waits = notice.handed_back && item && item->payload && item->payload->once;
   copies_->copies().owe(CopyNet::now(), notice.message, {notice.handed_back, notice.retry_in});
-  const auto ticket = copies_->copies().await(CopyNet::now(), {notice.message}, copies::Copies::Need::tell);
-  untold_.emplace(ticket, std::move(notice));
+  if (waits) {
+    const auto ticket = copies_->copies().await(CopyNet::now(), {notice.message}, copies::Copies::Need::tell);
+    untold_.emplace(ticket, std::move(notice));
+  } else {
+    discovery_.send(std::move(notice));
+  }
   copies_->turn();
 }
 
@@ -190,7 +195,7 @@
                        from_copies(item.until),
                        {}};
   for (const copies::Attempt& a : item.attempts) {
-    stored.attempts.push_back({a.host, a.zone, from_copies(a.known), a.fate != copies::Fate::never_ran});
+    stored.attempts.push_back({a.host, a.zone, from_copies(a.sent), a.fate != copies::Fate::never_ran});
   }
   std::optional<OutCall> out;
   if (found) {
@@ -203,7 +208,7 @@
     }
     journal_.flush();
   }
-  take_up(stored, out ? &*out : nullptr);
+  take_up(stored, out ? &*out : nullptr, inherited.astray);
   schedule();
 }
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -218,10 +218,9 @@
     e.message = m;
     e.destination = destination_for(m.destination);
     e.worth = s_.classes[m.cls].worth * share_worth(m);
-    entries_.emplace(m.id, std::move(e));
+    Entry& entry = entries_.emplace(m.id, std::move(e)).first->second;
     expiries_.emplace(m.valid_until, m.id);
     ++open_;
-    Entry& entry = entries_.at(m.id);
     if (in_turn(entry)) keys_[*m.key].waiting.push_back(m.id);
     destinations_[entry.destination].arrivals.add(now_, 1);
     for (const PastAttempt& p : m.past) take_up_attempt(entry, p);
@@ -362,10 +361,9 @@
   }
 
   std::optional<Time> first_risky_send(const Entry& e) const {
-    for (const Attempt& a : e.attempts) {
-      if (a.fate != Fate::never_ran) return a.sent;
-    }
-    return std::nullopt;
+    const auto a = std::ranges::find_if(
+        e.attempts, [](Fate f) { return f != Fate::never_ran; }, &Attempt::fate);
+    return a == e.attempts.end() ? std::nullopt : std::optional(a->sent);
   }
 
   // The hint is the time that the backlog takes, spread so that refused clients don't return together.
@@ -645,9 +643,8 @@
     if (!in_turn(e)) return;
     KeyQueue& k = keys_.at(*e.message.key);
     --k.out;
-    if (result == Result::timed_out || result == Result::reset || result == Result::cancelled) {
-      k.rest_until = std::max(k.rest_until, now_ + s_.order_settle);
-    }
+    const bool open = result == Result::timed_out || result == Result::reset || result == Result::cancelled;
+    if (open) k.rest_until = std::max(k.rest_until, now_ + s_.order_settle);
   }
 
   // Every outcome's wait binds, also those of one call that tell different ones.
@@ -850,7 +847,10 @@
 
   void give_up(Entry& e) { may_refuse(e) ? refuse(e) : fail(e); }
 
-  bool may_try(const Entry& e) const { return repeatable(e) && e.attempts.size() < s_.max_attempts; }
+  bool may_try(const Entry& e) const {
+    return repeatable(e) && e.attempts.size() < s_.max_attempts &&
+           std::ranges::none_of(e.message.past, &PastAttempt::astray);
+  }
 
   bool repeatable(const Entry& e) const {
     const ClassSettings& c = s_.classes[e.message.cls];
--- a/tests/copies_check_test.cpp
+++ b/tests/copies_check_test.cpp
@@ -54,7 +54,7 @@
     {1, 0, 0, 1, 1, 2, true, Without::majority},     {2, 1, 0, 1, 1, 2, true, Without::promise},
     {1, 1, 0, 1, 1, 2, true, Without::restart_wait}, {1, 0, 0, 1, 1, 2, true, Without::fence},
     {1, 0, 0, 1, 2, 2, true, Without::merge},        {1, 0, 1, 1, 1, 2, true, Without::amnesia},
-    {2, 0, 0, 1, 2, 2, false, Without::hold},
+    {1, 0, 0, 1, 2, 2, false, Without::astray},
 };
 INSTANTIATE_TEST_SUITE_P(Bounds, Ownership, testing::ValuesIn(kCases));
 
