--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -235,6 +235,10 @@
       }
       return Answer::wait;
     }
+    // A message that is called for before it is promised could be refused to its client and have run.
+    const bool first =
+        ticket.need == Need::act && held->group.shape().self == 0 && item->attempts.size() == 1;
+    if (first && held->group.held(id, true) < held->head.copies) return Answer::wait;
     const bool known = held->group.leads(now) && held->group.held(id, false) > 0;
     if (ticket.need == Need::tell ? !known : !held->group.may_call(id, now)) return Answer::wait;
   }
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -113,7 +113,8 @@
 
   enum class Need : std::uint8_t {
     promise,  // the bodies are with as many as the settings ask for
-    act,      // the newest state is known to another one, and this one leads
+    act,      // the newest state is known to another one, and this one leads; of a first attempt also what a
+              // promise needs
     tell,     // as act, for a notice
   };
   // A Done event follows, not before the caller has returned to take_events().
--- a/lab/copies_world.cpp
+++ b/lab/copies_world.cpp
@@ -516,6 +516,8 @@
   void notice(std::uint32_t n, const std::string& id, bool back) {
     Message& m = messages_.at(id);
     note(id, n, back ? "hands it back" : "gives it up");
+    if (back && m.once && !m.over && m.may_have_run > 0)
+      broke(CopyRule::effect_twice, id);  // its client comes again
     result_.handed_back += back ? 1 : 0;
     if (std::exchange(m.over, true)) return;
     ++result_.ended;
@@ -563,6 +565,8 @@
           result_.promise_ms.push_back(seconds(now_ - m.taken) * 1000);
           note(p.mapped(), n, "promises it");
         } else if (!m.over) {
+          if (m.once && m.may_have_run > 0)
+            broke(CopyRule::effect_twice, p.mapped());  // its client comes again
           m.over = true;
           ++result_.refused;
           node.held.erase(p.mapped());
