--- a/relay/copies_file.cpp
+++ b/relay/copies_file.cpp
@@ -56,9 +56,12 @@
   const std::uint64_t after = size_ + records.size();
   const bool anew = size_ == 0 || after > std::max(std::min(kLeastAnew, most_ / 4), 2 * written_anew_) ||
                     after > most_ * 6 / 10;
-  if (anew && rewrite(snapshot())) return true;
+  // After what could not be written a part of it would be no more than that: all of it, or nothing.
+  if ((anew || behind_) && rewrite(snapshot())) return !(behind_ = false);
+  if (behind_) return false;
   if (after > most_ || !write_all(file_, records)) {
     [[maybe_unused]] const int cut = ::ftruncate(file_, static_cast<off_t>(size_));
+    behind_ = true;
     return false;
   }
   size_ = after;
--- a/relay/copies_file.h
+++ b/relay/copies_file.h
@@ -34,6 +34,7 @@
   std::uint64_t most_;
   int file_ = -1;
   std::uint64_t size_ = 0, written_anew_ = 0;  // bytes; after the last time that it was written anew
+  bool behind_ = false;                        // something was not written
   valedrum::copies::Stored stored_;
 };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -313,7 +313,10 @@
     if (result.over) {
       journal_.end(open.payload->id);
       // Delivered before all have said that they hold it: there is nothing left to hold.
-      if (open.respond) std::exchange(open.respond, nullptr)({Answer::Kind::taken});
+      if (open.respond) {
+        ++counters_.taken;
+        std::exchange(open.respond, nullptr)({Answer::Kind::taken});
+      }
     } else if (never_ran) {
       journal_.never_ran(open.payload->id, item.attempt);
     }
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -174,6 +174,7 @@
 
 // To be brought to its end as what a journal holds after a restart.
 void Relay::inherit(const copies::Inherited& inherited) {
+  if (closing_) return;  // it takes no further step: its lease runs out, and another inherits
   const std::string& id = inherited.id;
   const copies::Item& item = inherited.item;
   if (const auto own = ids_.find(id); own != ids_.end()) {
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -814,6 +814,20 @@
   EXPECT_EQ(message([](Settings&) {}), "accepted");
 }
 
+// Whose call may be out for as long as its partner likes, for nobody here can end it, is not sent beside that.
+TEST(Restart, WhatIsAstrayGoesBackToItsClientAtOnce) {
+  Relay r;
+  for (const std::uint32_t cls : {kSafe, kOnce}) {
+    Message m = r.message(1 + cls, cls);
+    m.past = {{.zone = ZoneId(0), .sent = r.now - 100ms, .may_have_run = true, .astray = true}};
+    r.step({m});
+    EXPECT_EQ(r.sent(1 + cls), 0);
+  }
+  ASSERT_EQ(r.refused.size(), 1U);
+  EXPECT_EQ(r.refused[0].id, MessageId(1 + kSafe));
+  EXPECT_EQ(r.failed, std::vector{MessageId(1 + kOnce)});
+}
+
 // After a restart the module goes on from what a message has behind it.
 TEST(Restart, PastAttemptsBindAsIfTheyHadBeenMadeHere) {
   Relay r;
