Promise nothing that a power loss could undo, where the configuration asks for it

A failed sync is final. The copies' file tells how much of it was synced, so that a torn tail is told from damage. Default: process, as it was.

The exploration found that the copies' file took its first torn tail for damage and forgot what it held.

--- a/copies/codec.cpp
+++ b/copies/codec.cpp
@@ -230,54 +230,89 @@
   return out.record();
 }
 
-// Nothing behind a record that can't be read counts: it was torn off, or is damaged.
+std::string record_of_synced(std::uint64_t bytes) {
+  return Writer(RecordKind::synced).number(bytes).record();
+}
+
+namespace {
+
+// Whether a record behind what can't be read says that the file was synced beyond that.
+bool was_synced(std::string_view file, std::size_t beyond) {
+  for (std::size_t at = beyond; at + myrtlegrade::kRecordHeader < file.size(); ++at) {
+    const auto payload = Reader(file.substr(at)).record();
+    if (!payload || payload->empty()) continue;
+    Reader in(*payload);
+    if (in.kind<RecordKind>() == RecordKind::synced && in.number() > beyond && in.good) return true;
+  }
+  return false;
+}
+
+// One record into what was read before it. False: it can't be.
+bool take(Stored& all, std::string_view payload, Duration wall) {
+  Reader in(payload);
+  const auto kind = in.kind<RecordKind>();
+  if (kind == RecordKind::format) {
+    all.later = in.number() > kFormat;
+    if (all.later) return false;
+    all.life = in.number();
+    all.member = in.text();
+    return in.good && in.empty();
+  }
+  if (kind == RecordKind::synced) {
+    (void)in.number();
+    all.marked = true;
+    return in.good && in.empty();
+  }
+  const GroupId id = read_id(in);
+  const auto found = all.groups.find(id);
+  if (kind == RecordKind::group) {
+    const Head head = read_head(in);
+    const std::uint64_t self = in.number();
+    if (!in.good || self >= kVoters) return false;
+    all.groups.insert_or_assign(id, Stored::Entry{head, static_cast<Place>(self), {}});
+    return in.empty();
+  }
+  if (found == all.groups.end()) return false;
+  Group::Durable& durable = found->second.durable;
+  switch (kind) {
+    case RecordKind::promise:
+      durable.promised = in.number();
+      durable.owner = static_cast<Place>(in.number());
+      break;
+    case RecordKind::item: {
+      const std::string item_id = in.text();
+      Item item = read_item(in, Time{} - wall);
+      if (in.good) durable.items.insert_or_assign(item_id, std::move(item));
+      break;
+    }
+    case RecordKind::forget_item:
+      durable.items.erase(in.text());
+      break;
+    case RecordKind::drop:
+      all.groups.erase(found);
+      break;
+    default:
+      return false;
+  }
+  return in.good && in.empty();
+}
+
+}  // namespace
+
+// Nothing behind a record that can't be read counts. It was torn off where it is cut short or, in a file that
+// says how much of it was synced, lies beyond that; else it is damaged.
 Stored read_stored(std::string_view file, Duration wall) {
   Stored all;
   Reader outer(file);
   while (!outer.empty()) {
     const std::string_view rest = file.substr(all.bytes);
     const auto payload = outer.record();
-    if (!payload) {
-      const bool torn = rest.size() < myrtlegrade::kRecordHeader ||
-                        rest.size() < myrtlegrade::kRecordHeader + Reader(rest).number(4);
-      all.damaged = !torn;
-      return all;
-    }
-    Reader in(*payload);
-    all.damaged = true;  // unless it is read to its end
-    const auto kind = in.kind<RecordKind>();
-    if (kind == RecordKind::format) {
-      all.later = in.number() > kFormat;
-      if (all.later) return all;
-      all.life = in.number();
-      all.member = in.text();
-    } else {
-      const GroupId id = read_id(in);
-      const auto found = all.groups.find(id);
-      if (kind == RecordKind::group) {
-        const Head head = read_head(in);
-        const std::uint64_t self = in.number();
-        if (!in.good || self >= kVoters) break;
-        all.groups.insert_or_assign(id, Stored::Entry{head, static_cast<Place>(self), {}});
-      } else if (found == all.groups.end()) {
-        break;
-      } else if (kind == RecordKind::promise) {
-        found->second.durable.promised = in.number();
-        found->second.durable.owner = static_cast<Place>(in.number());
-      } else if (kind == RecordKind::item) {
-        const std::string item_id = in.text();
-        Item item = read_item(in, Time{} - wall);
-        if (in.good) found->second.durable.items.insert_or_assign(item_id, std::move(item));
-      } else if (kind == RecordKind::forget_item) {
-        found->second.durable.items.erase(in.text());
-      } else if (kind == RecordKind::drop) {
-        all.groups.erase(found);
-      } else {
-        break;
-      }
+    if (!payload || !take(all, *payload, wall)) {
+      const bool cut = !payload && (rest.size() < myrtlegrade::kRecordHeader ||
+                                    rest.size() < myrtlegrade::kRecordHeader + Reader(rest).number(4));
+      all.damaged = !all.later && (all.marked ? was_synced(file, all.bytes) : !cut);
+      break;
     }
-    if (!in.good || !in.empty()) break;
-    all.damaged = false;
     all.bytes += myrtlegrade::kRecordHeader + payload->size();
   }
   return all;
--- a/copies/codec.h
+++ b/copies/codec.h
@@ -61,13 +61,14 @@
 
 // Records of the file. Times in it are the day's, by `wall`: what that clock shows at the member's own
 // Time{}.
-enum class RecordKind : std::uint8_t { format = 1, group, promise, item, forget_item, drop };
+enum class RecordKind : std::uint8_t { format = 1, group, promise, item, forget_item, drop, synced };
 std::string record_of_format(std::uint64_t life, std::string_view member);
 std::string record_of(const GroupId& id, const Head& head, Place self);
 std::string record_of(const GroupId& id, std::uint64_t promised, Place owner);
 std::string record_of(const GroupId& id, const std::string& item_id, const Item& item, Duration wall);
 std::string record_of_forgotten(const GroupId& id, const std::string& item_id);
 std::string record_of_dropped(const GroupId& id);
+std::string record_of_synced(std::uint64_t bytes);  // of the file, before this record was written
 
 struct Stored {
   struct Entry {
@@ -80,7 +81,9 @@
   std::map<GroupId, Entry> groups;
   std::size_t bytes = 0;  // that could be read: what follows is torn
   bool later = false;     // written by a later program
-  bool damaged = false;   // not torn off, for there is more: what it had promised can't be known
+  // What follows is no torn tail: what it had promised can't be known.
+  bool marked = false;  // says how much of it was synced
+  bool damaged = false;
 };
 Stored read_stored(std::string_view file, Duration wall);
 
--- a/relay/commands.cpp
+++ b/relay/commands.cpp
@@ -133,6 +133,8 @@
         {"state_folder", json::value(folder), folder.empty() ? "not given" : state_from},
         {"sockets", json::value(c.sockets), file},
         {"disk_bytes", json::value(c.disk_bytes), file},
+        {"durability",
+         json::value(c.durability == valedrum::recovery::Durability::power ? "power" : "process"), file},
         {"known_endpoints", json::value(c.known.hosts.size()), file},
         {"slots", json::value(s.slots), file},
         {"max_open", json::value(s.max_open), file},
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -128,6 +128,11 @@
     if (config.sockets <= kFleetDescriptors) reject("limits.sockets", "too few for a fleet");
     config.sockets -= kFleetDescriptors;
   }
+  if (root.contains("durability")) {
+    const std::string durability = text(root, "durability");
+    if (durability != "process" && durability != "power") reject("durability", "must be process or power");
+    if (durability == "power") config.durability = valedrum::recovery::Durability::power;
+  }
   if (const json::value* copies = root.if_contains("copies")) {
     if (!copies->is_object()) reject("copies", "not an object");
     if (!config.fleet) reject("copies", "needs a fleet");
--- a/relay/config.h
+++ b/relay/config.h
@@ -9,6 +9,7 @@
 #include "copies_config.h"
 #include "fleet_config.h"
 #include "host_list.h"
+#include "recovery/disk.h"
 #include "vetchhinge/policy.h"
 
 namespace myrtlegrade {
@@ -25,6 +26,7 @@
   std::string state_folder;
   std::size_t sockets = 0;
   std::uint64_t disk_bytes = 0;
+  valedrum::recovery::Durability durability = valedrum::recovery::Durability::process;
   vetchhinge::Settings settings;
   vetchhinge::Duration connect_timeout{};
   vetchhinge::drill::Dialect dialect;
--- a/relay/copies_file.cpp
+++ b/relay/copies_file.cpp
@@ -1,24 +1,16 @@
 #include "copies_file.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
-#include <cstdio>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <stdexcept>
 #include <system_error>
 
-#include "copy_net.h"
-#include "files.h"
-
 namespace myrtlegrade {
 
 namespace copies = valedrum::copies;
+namespace recovery = valedrum::recovery;
 
 namespace {
 
@@ -31,36 +23,35 @@
   return std::chrono::duration_cast<copies::Duration>(wall) - now.time_since_epoch();
 }
 
-CopiesFile::CopiesFile(const std::string& folder, std::string member, std::uint64_t most_bytes)
-    : folder_(folder), member_(std::move(member)), most_(most_bytes) {
-  ::unlink((path() + ".new").c_str());
-  std::ifstream in(path(), std::ios::binary);
-  const std::string text{std::istreambuf_iterator<char>(in), {}};
-  stored_ = copies::read_stored(text, wall_of(CopyNet::now()));
+CopiesFile::CopiesFile(recovery::Disk& disk, std::string member, std::uint64_t most_bytes,
+                       recovery::Durability durability, copies::Duration wall)
+    : disk_(disk), member_(std::move(member)), most_(most_bytes), durability_(durability) {
+  disk_.remove(std::string(kName) + ".new");
+  stored_ = copies::read_stored(disk_.read(kName).value_or(""), wall);
   if (stored_.later) throw std::runtime_error("PROXY_STATE: the copies are of a later program");
   const bool others = stored_.life != 0 && stored_.member != member_;
   if (stored_.damaged || others) {
-    std::cerr << "myrtlegrade: copies: " << path()
-              << " is not used: " << (others ? "it is another member's" : "it is damaged") << std::endl;
+    std::cerr << "myrtlegrade: copies: the file is not used: "
+              << (others ? "it is another member's" : "it is damaged") << std::endl;
     stored_ = {};
   }
   size_ = stored_.bytes;
-  file_ = ::open(path().c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  if (file_ < 0 || ::ftruncate(file_, static_cast<off_t>(size_)) != 0)
-    throw std::system_error(errno, std::generic_category(), "PROXY_STATE: " + path());
+  errno = 0;
+  if (!disk_.cut(kName, size_))
+    throw std::system_error(errno, std::generic_category(), "PROXY_STATE: copies");
 }
 
-CopiesFile::~CopiesFile() { ::close(file_); }
-
 bool CopiesFile::append(const std::string& records, const std::function<std::string()>& snapshot) {
-  const std::uint64_t after = size_ + records.size();
+  std::string all = records;
+  if (synced_ > told_) all.insert(0, copies::record_of_synced(told_ = synced_));
+  const std::uint64_t after = size_ + all.size();
   const bool anew = size_ == 0 || after > std::max(std::min(kLeastAnew, most_ / 4), 2 * written_anew_) ||
                     after > most_ * 6 / 10;
   // After what could not be written a part of it would be no more than that: all of it, or nothing.
   if ((anew || behind_) && rewrite(snapshot())) return !(behind_ = false);
   if (behind_) return false;
-  if (after > most_ || !write_all(file_, records)) {
-    [[maybe_unused]] const int cut = ::ftruncate(file_, static_cast<off_t>(size_));
+  if (after > most_ || !disk_.append(kName, all)) {
+    (void)disk_.cut(kName, size_);
     behind_ = true;
     return false;
   }
@@ -68,19 +59,15 @@
   return true;
 }
 
-bool CopiesFile::rewrite(const std::string& text) {
+// It says from its first byte on that it tells what was synced: without that a torn tail would pass for
+// damage.
+bool CopiesFile::rewrite(const std::string& snapshot) {
+  std::string text = snapshot;
+  if (durability_ == recovery::Durability::power) text += copies::record_of_synced(0);
   if (size_ + text.size() > most_) return false;
-  const std::string fresh = path() + ".new";
-  const int file = ::open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
-  if (file < 0) return false;
-  if (!write_all(file, text) || ::rename(fresh.c_str(), path().c_str()) != 0) {
-    ::close(file);
-    ::unlink(fresh.c_str());
-    return false;
-  }
-  ::close(file_);
-  file_ = file;
+  if (!recovery::replace(disk_, kName, text, durability_)) return false;
   size_ = written_anew_ = text.size();
+  synced_ = told_ = 0;
   return true;
 }
 
--- a/relay/copy_net.cpp
+++ b/relay/copy_net.cpp
@@ -42,16 +42,19 @@
 
 CopyNet::CopyNet(asio::any_io_executor executor, const CopiesConfig& config, const FleetConfig& fleet,
                  const std::string& name, const std::string& folder, std::uint64_t disk_bytes,
-                 std::uint64_t seed, OnEvent on_event)
+                 valedrum::recovery::Durability durability, std::uint64_t seed, OnEvent on_event)
     : executor_(executor),
       config_(config),
       fleet_(fleet.settings.fleet),
       name_(name),
       on_event_(std::move(on_event)),
-      file_(folder, name, disk_bytes),
+      disk_(folder),
+      file_(disk_, name, disk_bytes, durability, wall_of(now())),
       acceptor_(executor),
       timer_(executor),
       retry_(executor) {
+  if (durability == valedrum::recovery::Durability::power)
+    syncer_ = std::make_shared<Syncer>(executor, [this] { return file_.sync_later(); });
   copies::Self self;
   self.seat = {name, 0, config.advertise};
   self.machine = fleet.machine;
@@ -103,6 +106,7 @@
   acceptor_.close(ignored);
   timer_.cancel();
   retry_.cancel();
+  if (syncer_) syncer_->stop();
   for (auto& [name, peer] : peers_) {
     if (peer.stream) peer.stream->close();
   }
@@ -129,9 +133,8 @@
       std::cerr << "myrtlegrade: copies: " << (kept ? "the disk takes them again" : "the disk takes no more")
                 << std::endl;
     }
-    for (const auto& frame : copies_->take_frames()) {
-      if (kept) send(frame);
-    }
+    auto frames = copies_->take_frames();
+    if (kept) send_when_kept(std::move(frames), !records.empty());
     for (const copies::CopyEvent& event : copies_->take_events()) {
       again_ = true;
       if (const auto* noted = std::get_if<copies::Noted>(&event)) {
@@ -158,6 +161,27 @@
 
 // ------------------------------------------------------------------------------------------ connections
 
+// What others are told they rely on: with durability `power` it is synced first. What says nothing new waits
+// its turn.
+void CopyNet::send_when_kept(std::vector<copies::Copies::ToSend> frames, bool changed) {
+  if (frames.empty()) return;
+  if (!syncer_ || (!changed && syncer_->idle())) {
+    for (const auto& frame : frames) send(frame);
+    return;
+  }
+  const std::uint64_t size = file_.size();
+  syncer_->after([self = shared_from_this(), frames = std::move(frames), size](bool synced) {
+    if (self->stopped_) return;
+    if (!synced) {  // what it covered may be gone: nothing is said any more, and others act on it
+      std::cerr << "myrtlegrade: copies: a sync has failed: no more are made or held" << std::endl;
+      self->stop();
+      return;
+    }
+    self->file_.synced(std::min(size, self->file_.size()));
+    for (const auto& frame : frames) self->send(frame);
+  });
+}
+
 // What can't be sent is lost: it is said anew once there is a connection, or asked for again.
 void CopyNet::send(const copies::Copies::ToSend& frame) {
   Peer& peer = peers_[frame.to.name];
--- a/relay/copy_net.h
+++ b/relay/copy_net.h
@@ -17,6 +17,8 @@
 #include "copies_file.h"
 #include "fleet_config.h"
 #include "record_stream.h"
+#include "recovery/disk.h"
+#include "syncer.h"
 
 namespace myrtlegrade {
 
@@ -26,8 +28,8 @@
 
   // Reads what the folder holds. Throws std::runtime_error where a later program wrote it.
   CopyNet(boost::asio::any_io_executor executor, const CopiesConfig& config, const FleetConfig& fleet,
-          const std::string& name, const std::string& folder, std::uint64_t disk_bytes, std::uint64_t seed,
-          OnEvent on_event);
+          const std::string& name, const std::string& folder, std::uint64_t disk_bytes,
+          valedrum::recovery::Durability durability, std::uint64_t seed, OnEvent on_event);
 
   // An address that is not free yet is tried again.
   void start();
@@ -59,6 +61,7 @@
 
   bool open();
   void arm();
+  void send_when_kept(std::vector<valedrum::copies::Copies::ToSend> frames, bool changed);
   void send(const valedrum::copies::Copies::ToSend& frame);
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> attend(std::shared_ptr<Stream> stream);
@@ -72,7 +75,9 @@
   CopiesConfig config_;
   std::string fleet_, name_;
   OnEvent on_event_;
+  valedrum::recovery::RealDisk disk_;
   CopiesFile file_;
+  std::shared_ptr<Syncer> syncer_;  // with durability `power`
   std::optional<valedrum::copies::Copies> copies_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer timer_, retry_;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -1,24 +1,19 @@
 #include "journal.h"
 
-#include <fcntl.h>
-#include <unistd.h>
-
 #include <algorithm>
 #include <cerrno>
-#include <cstdio>
-#include <cstring>
-#include <fstream>
-#include <iterator>
 #include <limits>
 #include <optional>
 #include <stdexcept>
 #include <system_error>
 
 #include "bytes.h"
-#include "files.h"
 #include "journal_records.h"
 
 namespace myrtlegrade {
+
+namespace recovery = valedrum::recovery;
+
 namespace {
 
 using Kind = RecordKind;
@@ -31,21 +26,29 @@
 
 }  // namespace
 
-Journal::Journal(const std::string& folder, std::uint64_t most_bytes) : folder_(folder), most_(most_bytes) {
-  ::unlink((path() + ".new").c_str());  // a compaction that was cut short
-  file_ = ::open(path().c_str(), O_RDWR | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
-  if (file_ < 0) throw std::system_error(errno, std::generic_category(), "PROXY_STATE: " + path());
-  std::ifstream in(path(), std::ios::binary);
-  read({std::istreambuf_iterator<char>(in), {}});
+Journal::Journal(const std::string& folder, std::uint64_t most_bytes, recovery::Durability durability)
+    : Journal(std::make_unique<recovery::RealDisk>(folder), most_bytes, durability) {}
+
+Journal::Journal(std::unique_ptr<recovery::Disk> own, std::uint64_t most_bytes,
+                 recovery::Durability durability)
+    : Journal(*own, most_bytes, durability) {
+  own_ = std::move(own);
+}
+
+Journal::Journal(recovery::Disk& disk, std::uint64_t most_bytes, recovery::Durability durability)
+    : disk_(&disk), most_(most_bytes), durability_(durability) {
+  disk_->remove(std::string(kName) + ".new");  // a compaction that was cut short
+  const std::optional<std::string> text = disk_->read(kName);
+  if (text) read(*text);
   if (size_ == 0) pending_ = Writer(Kind::format).number(kJournalFormat).record();
   // A torn tail would hide every record behind it.
-  if (::ftruncate(file_, static_cast<off_t>(size_)) != 0) {
-    throw std::system_error(errno, std::generic_category(), "PROXY_STATE: " + path());
-  }
+  errno = 0;
+  if (!disk_->cut(kName, size_))
+    throw std::system_error(errno, std::generic_category(), "PROXY_STATE: journal");
+  if (durability_ == recovery::Durability::power && (!disk_->sync(kName) || !disk_->sync_names()))
+    throw std::system_error(errno, std::generic_category(), "PROXY_STATE: journal can't be synced");
 }
 
-Journal::~Journal() { ::close(file_); }
-
 void Journal::read(const std::string& text) {
   Reader in(text);
   while (!in.empty()) {
@@ -80,7 +83,7 @@
 
 bool Journal::has_room(std::size_t bytes) const {
   // The old file and its successor stand side by side while the journal is compacted.
-  return !failing_ && reserved_ + bytes + kGrowth < most_ * 2 / 5;
+  return !failing_ && !broken_ && reserved_ + bytes + kGrowth < most_ * 2 / 5;
 }
 
 void Journal::append(std::string record) { pending_ += std::move(record); }
@@ -177,7 +180,7 @@
 }
 
 bool Journal::flush() {
-  if (retired_) return false;
+  if (retired_ || broken_) return false;
   if (pending_.empty()) return true;
   std::uint64_t live = 0;
   for (const auto& [number, entry] : live_) live += entry.records.size();
@@ -187,10 +190,10 @@
     compact();
     if (pending_.empty()) return !(failing_ = false);
   }
-  failing_ = whole_blocks(size_ + pending_.size()) > most_ || !write_all(file_, pending_);
+  failing_ = whole_blocks(size_ + pending_.size()) > most_ || !disk_->append(kName, pending_);
   if (failing_) {
     // Half a record would hide all that is appended behind it. If even this fails, a new file replaces it.
-    [[maybe_unused]] const int cut = ::ftruncate(file_, static_cast<off_t>(size_));
+    (void)disk_->cut(kName, size_);
     return false;
   }
   size_ += pending_.size();
@@ -202,16 +205,7 @@
 void Journal::compact() {
   const std::string text = live_records();
   if (whole_blocks(size_) + whole_blocks(text.size()) > most_) return;
-  const std::string fresh = path() + ".new";
-  const int file = ::open(fresh.c_str(), O_RDWR | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0600);
-  if (file < 0) return;
-  if (!write_all(file, text) || ::rename(fresh.c_str(), path().c_str()) != 0) {
-    ::close(file);
-    ::unlink(fresh.c_str());
-    return;
-  }
-  ::close(file_);
-  file_ = file;
+  if (!recovery::replace(*disk_, kName, text, durability_)) return;
   size_ = text.size();
   pending_.clear();
 }
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -3,11 +3,14 @@
 // Records are appended, each with a length and a checksum; a torn tail (the process was killed while it
 // wrote) is cut off at the next start. Records gather in memory until flush() writes them in one piece. When
 // little of the file still matters, what does is written to a new file that then takes the old one's name.
+// With durability `power` what was flushed outlasts the machine's power once it is synced too.
 #pragma once
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -15,6 +18,8 @@
 #include <utility>
 #include <vector>
 
+#include "recovery/disk.h"
+
 namespace myrtlegrade {
 
 // Steady clocks start anew with a machine; what is kept tells the time of day.
@@ -46,8 +51,11 @@
 class Journal {
  public:
   // Reads what an earlier process left. Throws std::system_error if the folder can't be used.
-  Journal(const std::string& folder, std::uint64_t most_bytes);
-  ~Journal();
+  Journal(const std::string& folder, std::uint64_t most_bytes,
+          valedrum::recovery::Durability durability = valedrum::recovery::Durability::process);
+  // The disk outlives the journal.
+  Journal(valedrum::recovery::Disk& disk, std::uint64_t most_bytes,
+          valedrum::recovery::Durability durability);
   Journal(const Journal&) = delete;
   Journal& operator=(const Journal&) = delete;
 
@@ -76,8 +84,15 @@
   // False if the disk takes no more: the records are kept for the next try, and nothing that depends on
   // them may be done.
   bool flush();
+  // Syncs what has been flushed by now; another thread may do it. False: what it covered may be lost,
+  // whatever a later one says, and sync_failed() has to be called.
+  std::function<bool()> sync_later() { return disk_->sync_later(kName); }
+  // Nothing more is taken, or written.
+  void sync_failed() { broken_ = true; }
 
  private:
+  Journal(std::unique_ptr<valedrum::recovery::Disk> own, std::uint64_t most_bytes,
+          valedrum::recovery::Durability durability);
   struct Live {
     std::string records;
     std::size_t reserved = 0;
@@ -89,15 +104,17 @@
   std::string live_records() const;
   void forget(const std::string& id);
   void compact();
-  std::string path() const { return folder_ + "/journal"; }
+  static constexpr const char* kName = "journal";
 
-  std::string folder_;
+  std::unique_ptr<valedrum::recovery::Disk> own_;
+  valedrum::recovery::Disk* disk_;
   std::uint64_t most_;
-  int file_ = -1;
+  valedrum::recovery::Durability durability_;
   std::uint64_t size_ = 0;  // of the file
   std::string pending_;     // not written yet
   bool retired_ = false;
   bool failing_ = false;        // the last flush did not succeed
+  bool broken_ = false;         // a sync failed
   std::uint64_t reserved_ = 0;  // bytes of live records, with what they may grow by
   std::uint64_t next_ = 0;
   std::map<std::uint64_t, Live> live_;  // in the order taken
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -59,7 +59,7 @@
              std::optional<std::string> inherited)
     : executor_(executor),
       config_(std::move(config)),
-      journal_(config_.state_folder, config_.disk_bytes),
+      journal_(config_.state_folder, config_.disk_bytes, config_.durability),
       sender_(config_.settings),
       host_client_(
           executor,
@@ -90,6 +90,8 @@
       watch_timer_(executor),
       log_timer_(executor),
       drain_timer_(executor) {
+  if (config_.durability == valedrum::recovery::Durability::power)
+    syncer_ = std::make_shared<Syncer>(executor_, [this] { return journal_.sync_later(); });
   make_copies();
   if (!inherited) return;
   Reader in(*inherited);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -23,6 +23,7 @@
 #include "host_client.h"
 #include "journal.h"
 #include "server.h"
+#include "syncer.h"
 #include "vetchhinge/policy.h"
 
 namespace myrtlegrade {
@@ -32,6 +33,7 @@
   // With what an earlier process that gave over knew, where there is one.
   Relay(boost::asio::any_io_executor executor, Config config, boost::asio::ip::tcp::acceptor listening,
         std::optional<std::string> inherited);
+  ~Relay();
 
   // Takes up what the journal holds, and begins to work.
   void start();
@@ -145,7 +147,8 @@
   vetchhinge::Time now() const;
 
   // ------------------------------------------------------------------ relay_copies.cpp
-  struct PendingCall {  // until others know what it means to do
+  static constexpr std::uint64_t kUndurable = std::uint64_t{1} << 63;
+  struct PendingCall {  // until others know what it means to do, and the disk does
     vetchhinge::HostId host{};
     std::vector<CallItem> items;
     std::uint64_t withheld = 0;  // as it was then
@@ -154,14 +157,19 @@
     StoredMessage stored;
     std::optional<OutCall> out;
   };
+  // Once all that the journal has by now outlasts what it has to outlast; false: that can't be known.
+  void when_durable(Syncer::Then then);
   void make_copies();
   bool copied_elsewhere(const HandIn& message, const Server::Respond& respond) const;
   bool copy(const Open& open);
   void copy_attempt(const Open& open, const std::string& host, const std::string& zone);
   void promise(vetchhinge::MessageId id);
+  void keep_promise(vetchhinge::MessageId id, bool good);
+  void await_copies(PendingCall call);
+  void release(PendingCall call, bool good);
+  void tell_now(Notice notice, bool waits);
   void take_back(vetchhinge::MessageId id);
   void call_when_known(Calls calls);
-  void call_now(const PendingCall& call);
   void tell(Notice notice);
   void notice_settled(const std::string& message);
   void on_copies(const valedrum::copies::CopyEvent& event);
@@ -177,10 +185,12 @@
   std::shared_ptr<CopyNet> copies_;                                    // where copies are configured
   std::unordered_map<std::uint64_t, vetchhinge::MessageId> promises_;  // by ticket; likewise
   std::unordered_map<std::uint64_t, PendingCall> pending_calls_;
+  std::uint64_t last_undurable_ = kUndurable;  // as tickets, of calls that wait for the disk
   std::unordered_map<std::uint64_t, Notice> untold_;
   std::unordered_map<std::string, Waiting> waiting_;
   std::unordered_map<std::string, valedrum::copies::Inherited> inherited_later_;  // own calls are still out
   Journal journal_;
+  std::shared_ptr<Syncer> syncer_;  // with durability `power`
   vetchhinge::Sender sender_;
   HostClient host_client_;
   Discovery discovery_;
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -30,9 +30,9 @@
 
 void Relay::make_copies() {
   if (!config_.copies) return;
-  copies_ = std::make_shared<CopyNet>(executor_, *config_.copies, *config_.fleet, config_.name,
-                                      config_.state_folder, config_.copies_disk, config_.seed,
-                                      [this](const copies::CopyEvent& event) { on_copies(event); });
+  copies_ = std::make_shared<CopyNet>(
+      executor_, *config_.copies, *config_.fleet, config_.name, config_.state_folder, config_.copies_disk,
+      config_.durability, config_.seed, [this](const copies::CopyEvent& event) { on_copies(event); });
 }
 
 // One that is held here for another relay, or that this one has found and may not act on yet: its promise
@@ -59,15 +59,40 @@
   copies_->copies().attempt(CopyNet::now(), open.payload->id, {host, zone});
 }
 
+Relay::~Relay() {
+  if (syncer_) syncer_->stop();
+  if (copies_) copies_->stop();
+}
+
+void Relay::when_durable(Syncer::Then then) {
+  if (!syncer_) return then(true);
+  syncer_->after([this, then = std::move(then)](bool synced) {
+    if (!synced) {
+      std::cerr << "myrtlegrade: a sync of the journal has failed: nothing more is taken on" << std::endl;
+      journal_.sync_failed();
+    }
+    then(synced);
+  });
+}
+
 void Relay::promise(MessageId id) {
-  Open& open = open_.at(id);
-  if (copies_) {
+  when_durable([this, id](bool synced) {
+    if (!synced || !copies_) return keep_promise(id, synced);
+    const auto found = open_.find(id);
+    if (found == open_.end() || found->second.over) return;
     promises_.emplace(
-        copies_->copies().await(CopyNet::now(), {open.payload->id}, copies::Copies::Need::promise), id);
-    return;
-  }
+        copies_->copies().await(CopyNet::now(), {found->second.payload->id}, copies::Copies::Need::promise),
+        id);
+    copies_->turn();
+  });
+}
+
+void Relay::keep_promise(MessageId id, bool good) {
+  const auto found = open_.find(id);
+  if (found == open_.end() || found->second.over || !found->second.respond) return;
+  if (!good) return take_back(id);
   ++counters_.taken;
-  std::exchange(open.respond, nullptr)({Answer::Kind::taken});
+  std::exchange(found->second.respond, nullptr)({Answer::Kind::taken});
 }
 
 // Its client is told to come again: it was not promised anything yet.
@@ -84,34 +109,68 @@
 void Relay::call_when_known(Calls calls) {
   for (auto& [host, items] : calls) {
     PendingCall call{host, std::move(items), hosts_.at(host).withheld};
-    if (!copies_) {
-      call_now(call);
-      continue;
+    if (!syncer_) {
+      await_copies(std::move(call));
+    } else {
+      const std::uint64_t number = ++last_undurable_;
+      pending_calls_.emplace(number, std::move(call));
+      when_durable([this, number](bool synced) {
+        auto pending = pending_calls_.extract(number);
+        if (!pending) return;
+        if (!synced) return release(std::move(pending.mapped()), false);
+        await_copies(std::move(pending.mapped()));
+        if (copies_) copies_->turn();
+      });
     }
-    std::vector<std::string> ids;
-    for (const CallItem& item : call.items) ids.push_back(item.payload->id);
-    const auto ticket = copies_->copies().await(CopyNet::now(), std::move(ids), copies::Copies::Need::act);
-    pending_calls_.emplace(ticket, std::move(call));
   }
 }
 
-void Relay::call_now(const PendingCall& call) {
-  host_client_.call(call.host, hosts_.at(call.host).address, call.items);
+void Relay::await_copies(PendingCall call) {
+  if (!copies_) return release(std::move(call), true);
+  std::vector<std::string> ids;
+  for (const CallItem& item : call.items) ids.push_back(item.payload->id);
+  const auto ticket = copies_->copies().await(CopyNet::now(), std::move(ids), copies::Copies::Need::act);
+  pending_calls_.emplace(ticket, std::move(call));
+}
+
+// What was called back meanwhile, or is for a message that is over, is as one that could not leave.
+void Relay::release(PendingCall call, bool good) {
+  const Host& host = hosts_.at(call.host);
+  const bool waited = copies_ || syncer_;
+  if (waited && (closing_ || host.withheld != call.withheld)) good = false;
+  std::vector<CallItem> go;
+  for (CallItem& item : call.items) {
+    if (good && !(waited && open_.at(item.message).over)) {
+      go.push_back(std::move(item));
+    } else {
+      reported(call.host, item, {Result::not_sent, false, {}, {}});
+    }
+  }
+  if (!go.empty()) host_client_.call(call.host, host.address, std::move(go));
 }
 
 // Handed back, its client comes with it again: work that may not be repeated must not be sent by others any
 // more by then. All other notices do no harm to what others may do.
 void Relay::tell(Notice notice) {
-  if (!copies_) return discovery_.send(std::move(notice));
-  const copies::Item* item = copies_->copies().look(notice.message);
-  const bool waits = notice.handed_back && item && item->payload && item->payload->once;
-  copies_->copies().owe(CopyNet::now(), notice.message, {notice.handed_back, notice.retry_in});
-  if (waits) {
-    const auto ticket = copies_->copies().await(CopyNet::now(), {notice.message}, copies::Copies::Need::tell);
-    untold_.emplace(ticket, std::move(notice));
-  } else {
+  const auto found = ids_.find(notice.message);
+  const auto cls =
+      found == ids_.end() ? std::nullopt : config_.dialect.classes.find(open_.at(found->second).cls);
+  const bool once = cls && config_.settings.classes[*cls].effect == Effect::at_most_once;
+  const bool waits = notice.handed_back && once;
+  if (copies_) copies_->copies().owe(CopyNet::now(), notice.message, {notice.handed_back, notice.retry_in});
+  if (!waits) {
     discovery_.send(std::move(notice));
+  } else {
+    when_durable([this, notice = std::move(notice)](bool synced) { tell_now(notice, synced); });
   }
+  if (copies_) copies_->turn();
+}
+
+void Relay::tell_now(Notice notice, bool durable) {
+  notice.handed_back = notice.handed_back && durable;
+  if (!copies_ || !durable) return discovery_.send(std::move(notice));
+  const auto ticket = copies_->copies().await(CopyNet::now(), {notice.message}, copies::Copies::Need::tell);
+  untold_.emplace(ticket, std::move(notice));
   copies_->turn();
 }
 
@@ -141,25 +200,9 @@
 
 void Relay::on_done(const copies::Done& done) {
   if (const auto promised = promises_.extract(done.ticket)) {
-    const auto found = open_.find(promised.mapped());
-    if (found == open_.end() || found->second.over || !found->second.respond) return;
-    if (!done.good) return take_back(found->first);
-    ++counters_.taken;
-    std::exchange(found->second.respond, nullptr)({Answer::Kind::taken});
-  } else if (const auto pending = pending_calls_.extract(done.ticket)) {
-    PendingCall& call = pending.mapped();
-    // Called back meanwhile, or for a message that is over: as one that could not leave.
-    const bool goes = done.good && !closing_ && hosts_.at(call.host).withheld == call.withheld;
-    std::vector<CallItem> go;
-    for (CallItem& item : call.items) {
-      if (goes && !open_.at(item.message).over) {
-        go.push_back(std::move(item));
-      } else {
-        reported(call.host, item, {Result::not_sent, false, {}, {}});
-      }
-    }
-    call.items = std::move(go);
-    if (!call.items.empty()) call_now(call);
+    keep_promise(promised.mapped(), done.good);
+  } else if (auto pending = pending_calls_.extract(done.ticket)) {
+    release(std::move(pending.mapped()), done.good);
   } else if (const auto untold = untold_.extract(done.ticket)) {
     Notice& notice = untold.mapped();
     if (!done.good && !copies_->copies().is_own(notice.message)) {  // another ends it
@@ -246,10 +289,13 @@
   for (auto& [ticket, call] : std::exchange(pending_calls_, {})) {
     for (const CallItem& item : call.items) reported(call.host, item, {Result::not_sent, false, {}, {}});
   }
-  for (const auto& [ticket, id] : std::exchange(promises_, {})) {
-    const auto found = open_.find(id);
-    if (found != open_.end() && !found->second.over && found->second.respond) take_back(id);
+  promises_.clear();
+  std::vector<MessageId> unanswered;
+  for (const auto& [id, open] : open_) {
+    if (!open.over && open.respond) unanswered.push_back(id);
   }
+  for (const MessageId id : unanswered) take_back(id);
+  if (!copies_) return;
   copies_->turn();
   copies_->stop();
 }
