Hold back the last byte of what has got its final answer, and wait for a proof again

At fault: relay/relay.cpp, the list that HostClient::Limits was made from: a {} put in its sixth place set proof to zero in place of its default of 20 ms, so that once-only calls went out unproven. And a call whose connection comes up late, or is being proven, when its message is answered was only stopped by its own time-out. Change: the limits are named; the last byte is held back where the message is over (may_leave), whatever made it so. Test: a call that may not leave any more stays without its last byte, and never ran.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -61,22 +61,17 @@
       config_(std::move(config)),
       journal_(config_.state_folder, config_.disk_bytes, config_.durability),
       sender_(config_.settings),
-      host_client_(
-          executor,
-          {config_.connect_timeout,
-           config_.settings.connection_idle,
-           part_of(config_.sockets, kIdleHostShare),
-           part_of(config_.sockets, kHostShare),
-           config_.dialect.share_left && config_.dialect.calls_per_second,
-           {},
-           !config_.copies
-               ? decltype(HostClient::Limits::may_leave){}
-               : [this](const CallItem&
-                            item) { return copies_->copies().may_call(CopyNet::now(), item.payload->id); },
-           config_.copies ? config_.name : ""},
-          [this](HostId host, const CallItem& item, const CallResult& result) {
-            reported(host, item, result);
-          }),
+      host_client_(executor,
+                   {.connect_timeout = config_.connect_timeout,
+                    .idle = config_.settings.connection_idle,
+                    .most_idle = part_of(config_.sockets, kIdleHostShare),
+                    .most = part_of(config_.sockets, kHostShare),
+                    .reports = config_.dialect.share_left && config_.dialect.calls_per_second,
+                    .may_leave = [this](const CallItem& item) { return may_leave(item); },
+                    .via = config_.copies ? config_.name : ""},
+                   [this](HostId host, const CallItem& item, const CallResult& result) {
+                     reported(host, item, result);
+                   }),
       discovery_(
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
           [this] { watch_lost(); }, [this](const std::string& message) { notice_settled(message); }),
@@ -334,6 +329,14 @@
   forget_if_gone(host);
 }
 
+// A connection may come up, or be proven, after the message has got its final answer: then it must not go
+// out.
+bool Relay::may_leave(const CallItem& item) const {
+  const auto found = open_.find(item.message);
+  if (found == open_.end() || found->second.over) return false;
+  return !copies_ || copies_->copies().may_call(CopyNet::now(), item.payload->id);
+}
+
 void Relay::withhold(std::uint64_t cell) {
   for (const auto& [id, host] : hosts_) {
     if (host.cell == cell) withhold_host(id);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -139,6 +139,7 @@
   void end_undelivered(vetchhinge::MessageId id, Notice notice);
   void close_message(vetchhinge::MessageId id);
   void withhold(std::uint64_t cell);
+  bool may_leave(const CallItem& item) const;
   void drain_further();
   void log_counters();
   void keep_log();
--- a/tests/host_client_test.cpp
+++ b/tests/host_client_test.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <string>
@@ -24,7 +25,13 @@
   HostClientTest()
       : acceptor_(context_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
         address_(acceptor_.local_endpoint()),
-        client_(context_.get_executor(), {20s, 10s, 8, 12, true},
+        client_(context_.get_executor(),
+                {.connect_timeout = 20s,
+                 .idle = 10s,
+                 .most_idle = 8,
+                 .most = 12,
+                 .reports = true,
+                 .may_leave = [this](const CallItem&) { return may_leave_; }},
                 [this](HostId, const CallItem& item, const CallResult& result) {
                   results_.emplace_back(item.message, result);
                 }) {}
@@ -65,6 +72,7 @@
   tcp::acceptor acceptor_;
   tcp::endpoint address_;
   std::vector<std::pair<MessageId, CallResult>> results_;
+  bool may_leave_ = true;
   HostClient client_;
 };
 
@@ -182,6 +190,22 @@
   ASSERT_TRUE(run_until([&] { return patient.calls_out() == 0; }));
 }
 
+// What has got its final answer while its connection was proven stays without its last byte: it never runs.
+TEST_F(HostClientTest, TheLastByteIsHeldBackFromWhatMayNotLeaveAnyMore) {
+  CallItem careful = item(1);
+  careful.prove = true;
+  call({careful});
+  tcp::socket host = accept();
+  may_leave_ = false;
+  std::string text;
+  bool ended = false;
+  boost::asio::async_read(host, boost::asio::dynamic_buffer(text),
+                          [&](boost::system::error_code, std::size_t) { ended = true; });
+  ASSERT_TRUE(run_until([&] { return ended && !results_.empty(); }));
+  EXPECT_TRUE(text.ends_with("\r\n\r\nxxxx")) << "the last byte of five is held back";
+  EXPECT_EQ(results_[0].second.result, Result::not_sent);
+}
+
 TEST_F(HostClientTest, AConnectionThatStandsGetsTheWholeRequest) {
   CallItem careful = item(1);
   careful.prove = true;
