--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -814,7 +814,8 @@
   EXPECT_EQ(message([](Settings&) {}), "accepted");
 }
 
-// Whose call may be out for as long as its partner likes, for nobody here can end it, is not sent beside that.
+// Whose call may be out for as long as its partner likes, for nobody here can end it, is not sent beside
+// that.
 TEST(Restart, WhatIsAstrayGoesBackToItsClientAtOnce) {
   Relay r;
   for (const std::uint32_t cls : {kSafe, kOnce}) {
