--- a/tests/copies_rig.sh
+++ b/tests/copies_rig.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
 # Real relays that make copies, with faults between them: what is promised is ended once, whoever is lost, stopped, cut off
 # or started anew. That a broken exchange is seen is for copies_test and copies_check_test: with real processes it shows on
-# most days and not on all.
+# some plays and not on all.
 set -eu
 lab=$1
 relay=$2
