Name the message with the most time left first in a bulk call

At fault: add_to_call() in relay.cpp, which named messages in the order in which the module sends them: most often the oldest first. The call now leads with the one that has the most time left; the module's decisions are as they were.

The test fails without the mend (it names short, long, told).

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -540,6 +540,7 @@
   for (const auto& action : actions) {
     if (const auto* send = std::get_if<vetchhinge::Send>(&action)) add_to_call(calls, *send);
   }
+  lead_with_longest(calls);
   const bool kept = journal_.flush();
   for (const auto& [id, answer] : answers) {
     Open& open = open_.at(id);
@@ -608,6 +609,15 @@
     copy_attempt(open, config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone);
 }
 
+// A host may keep the time of a call by the message that it names first: its answer counts for none of the
+// others once that one's time is up. So the one with the most time left leads.
+void Relay::lead_with_longest(Calls& calls) const {
+  for (auto& [host, items] : calls) {
+    std::ranges::stable_sort(items, std::greater{},
+                             [this](const CallItem& item) { return open_.at(item.message).deadline; });
+  }
+}
+
 void Relay::not_sent(const Calls& calls) {
   for (const auto& [host, items] : calls) {
     for (const CallItem& item : items) reported(host, item, {Result::not_sent, false, {}, {}});
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -135,6 +135,7 @@
   void step();
   void carry_out(const std::vector<vetchhinge::Action>& actions);
   void add_to_call(Calls& calls, const vetchhinge::Send& send);
+  void lead_with_longest(Calls& calls) const;
   void not_sent(const Calls& calls);
   void end_undelivered(vetchhinge::MessageId id, Notice notice);
   void close_message(vetchhinge::MessageId id);
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -248,6 +248,10 @@
     request.prepare_payload();
     return request;
   }
+  Request with_time(Request request, int ms) {
+    request.set("X-Timeout-Ms", std::to_string(ms));
+    return request;
+  }
   unsigned hand_in(const std::string& id, const std::string& cls, int dest,
                    const std::string& body = "hello") {
     return ask(address_, message(id, cls, dest, body)).result_int();
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -644,6 +644,27 @@
   EXPECT_EQ(stop(SIGTERM), 0);
 }
 
+// A host may go by the time of the message that a bulk call names first: where that is over before the host
+// answers, the answer would count for none. Without care the call names the messages here in the order short,
+// long, told.
+TEST_F(RelayTest, ABulkCallNamesTheMessageWithTheMostTimeFirst) {
+  add_host("h", 1, "bulk", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "1500"}});
+  });
+  start();
+  ASSERT_EQ(ask(address_, with_time(message("bt-told", "note", 1), 12000)).result_int(), 202U);
+  ASSERT_TRUE(wait_seen("bt-told"));
+  behave("h", kAccept);  // after the wait all that is held goes out in one call
+  ASSERT_EQ(ask(address_, with_time(message("bt-long", "note", 1), 19000)).result_int(), 202U);
+  ASSERT_EQ(ask(address_, with_time(message("bt-short", "note", 1), 6000)).result_int(), 202U);
+  ASSERT_TRUE(wait_seen("bt-short"));
+  std::vector<std::string> named;
+  watched_.change([&] {
+    for (std::size_t i = 1; i < deliveries_.size(); ++i) named.push_back(deliveries_[i].id);
+  });
+  EXPECT_EQ(named, (std::vector<std::string>{"bt-long", "bt-told", "bt-short"}));
+}
+
 // Each message of a bulk call has its own end.
 TEST_F(RelayTest, ABulkAnswerEndsEachMessageForItself) {
   add_host("h", 1, "bulk", [](tcp::socket& socket, Request& request) {
