Let a keyed repeat leave within the window of its key or never

Ruled out: the module's reckoning of the window (6.340 is inside, with its margin), the group (`all`), a second copy (the first had been given up), a restart.

At fault: HostClient::write(), which looks before the last byte whether the message may still leave, and did not know of the window. `Send` now says within what time the last byte has to go out; a call whose connection comes up later stays here as never sent.

Both tests fail without the mend: the module told no such time, and the call went out.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -383,7 +383,9 @@
     if (!stands) co_return;
     request = last;
   }
-  if (limits_.may_leave && !std::ranges::all_of(call.items, limits_.may_leave)) {
+  const Duration most = std::ranges::min(call.items, {}, &CallItem::leave_within).leave_within;
+  const bool allowed = !limits_.may_leave || std::ranges::all_of(call.items, limits_.may_leave);
+  if (!allowed || since(call.started) > most) {
     call.withheld = true;
     co_return;
   }
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -34,6 +34,8 @@
   vetchhinge::Duration timeout{};
   vetchhinge::Duration idle_most = vetchhinge::Duration::max();  // of the connection that carries it
   bool prove = false;  // the last byte waits until the connection has stood the others
+  vetchhinge::Duration leave_within =
+      vetchhinge::Duration::max();  // the last byte goes out by then, or never
 };
 
 struct CallResult {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -601,7 +601,8 @@
   const std::uint64_t number =
       items->empty() ? ++last_call_ : open_.at(items->front().message).out.back().call;
   open.out.push_back({open.attempts, send.host, number, sent, false});
-  items->push_back({send.id, open.attempts++, open.payload, send.timeout, send.idle_most, send.prove});
+  items->push_back(
+      {send.id, open.attempts++, open.payload, send.timeout, send.idle_most, send.prove, send.leave_within});
   ++hosts_.at(send.host).out;
   journal_.attempt(open.payload->id,
                    {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -355,17 +355,11 @@
   }
 
   bool may_refuse(const Entry& e) const {
-    const bool unproven = first_risky_send(e).has_value();
+    const bool unproven = e.first_risky_send().has_value();
     return repeatable(e) && (!unproven || s_.classes[e.message.cls].effect != Effect::deduplicated ||
                              s_.classes[e.message.cls].scope == KeyScope::all);
   }
 
-  std::optional<Time> first_risky_send(const Entry& e) const {
-    const auto a = std::ranges::find_if(
-        e.attempts, [](Fate f) { return f != Fate::never_ran; }, &Attempt::fate);
-    return a == e.attempts.end() ? std::nullopt : std::optional(a->sent);
-  }
-
   // The hint is the time that the backlog takes, spread so that refused clients don't return together.
   void refuse(Entry& e) {
     const double backlog = std::min(backlog_time(e.destination), seconds(s_.max_wait_hint));
@@ -601,11 +595,13 @@
     activate(h.lane);
     unhold(e);
     ++e.out;
+    const Duration leave_within = window_end(e).value_or(Time::max()) - now_;
     e.attempts.push_back({at, h.step_call, h.zone, now_});
     if (in_turn(e)) ++keys_.at(*e.message.key).out;
     const IdleAge& age = idle_ages_[d.kind];
     const bool once = s_.classes[e.message.cls].effect == Effect::at_most_once;
-    actions_.push_back(Send{e.message.id, h.id, timeout(e, l), once ? age.keep_once() : age.keep(), once});
+    actions_.push_back(
+        Send{e.message.id, h.id, timeout(e, l), once ? age.keep_once() : age.keep(), once, leave_within});
   }
 
   // Long enough for a slow destination that works, short enough that a silent one doesn't pin slots.
@@ -839,9 +835,7 @@
   // Into the hold where an attempt may follow, else the final answer.
   void hold_or_end(Entry& e) {
     if (!may_try(e) || shut_by_hand(e.destination)) return give_up(e);
-    const std::optional<Time> risky = first_risky_send(e);
-    const ClassSettings& c = s_.classes[e.message.cls];
-    if (risky && c.effect == Effect::deduplicated) expiries_.emplace(*risky + c.window, e.message.id);
+    if (const auto end = window_end(e)) expiries_.emplace(*end + kWindowMargin, e.message.id);
     hold(e);
   }
 
@@ -853,10 +847,16 @@
   }
 
   bool repeatable(const Entry& e) const {
+    const bool idempotent = s_.classes[e.message.cls].effect == Effect::idempotent;
+    return idempotent || !e.first_risky_send() || now_ < window_end(e).value_or(Time::min());
+  }
+
+  // Until when keyed work that may have run can begin to run again.
+  std::optional<Time> window_end(const Entry& e) const {
     const ClassSettings& c = s_.classes[e.message.cls];
-    const std::optional<Time> risky = first_risky_send(e);
-    if (!risky || c.effect == Effect::idempotent) return true;
-    return c.effect == Effect::deduplicated && now_ + kWindowMargin < *risky + c.window;
+    const std::optional<Time> risky = e.first_risky_send();
+    if (!risky || c.effect != Effect::deduplicated) return std::nullopt;
+    return *risky + c.window - kWindowMargin;
   }
 
   void on(const Withdrawn& w) {
--- a/src/records.h
+++ b/src/records.h
@@ -2,6 +2,7 @@
 // no tuned value is here.
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -33,6 +34,13 @@
   double worth = 1;
   bool done = false;
   bool held = false;
+
+  // When the first attempt that may have run was sent.
+  std::optional<Time> first_risky_send() const {
+    const auto a = std::ranges::find_if(
+        attempts, [](Fate f) { return f != Fate::never_ran; }, &Attempt::fate);
+    return a == attempts.end() ? std::nullopt : std::optional(a->sent);
+  }
 };
 
 struct Call {  // what one slot is spent on: one message, or a batch
--- a/tests/host_client_test.cpp
+++ b/tests/host_client_test.cpp
@@ -206,6 +206,44 @@
   EXPECT_EQ(results_[0].second.result, Result::not_sent);
 }
 
+// Its connection comes up after the moment until which it may begin to run.
+TEST_F(HostClientTest, WhatMayNotLeaveSoLateStaysHere) {
+  ::listen(acceptor_.native_handle(), 0);
+  std::vector<tcp::socket> crowd;  // a full backlog: further connections come up once there is room
+  for (int i = 0; i < 4; ++i) {
+    crowd.emplace_back(context_);
+    crowd.back().async_connect(acceptor_.local_endpoint(), [](boost::system::error_code) {});
+  }
+  CallItem late = item(1);
+  late.leave_within = 50ms;
+  CallItem free = item(2);
+  call({free, late});
+  const auto due = std::chrono::steady_clock::now() + 60ms;
+  run_until([&] { return std::chrono::steady_clock::now() >= due; });
+  ASSERT_TRUE(results_.empty());
+  std::vector<tcp::socket> accepted;
+  std::string text;
+  std::function<void()> accept_all = [&] {
+    acceptor_.async_accept([&](boost::system::error_code error, tcp::socket socket) {
+      if (error) return;
+      accepted.push_back(std::move(socket));
+      accept_all();
+    });
+  };
+  accept_all();
+  ASSERT_TRUE(run_until([&] { return results_.size() == 2; }));
+  for (const auto& [id, result] : results_) {
+    EXPECT_EQ(result.result, Result::not_sent);
+    EXPECT_TRUE(result.connection.established) << "it did come up";
+  }
+  for (tcp::socket& socket : accepted) {
+    boost::system::error_code error;
+    EXPECT_EQ(socket.available(error), 0U) << "nothing was written";
+  }
+  acceptor_.close();
+  run_until([&] { return client_.calls_out() == 0; });
+}
+
 TEST_F(HostClientTest, AConnectionThatStandsGetsTheWholeRequest) {
   CallItem careful = item(1);
   careful.prove = true;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -563,6 +563,25 @@
   for (const Refuse& refusal : r.refused) EXPECT_NE(refusal.id, MessageId(1));
 }
 
+// A connection that comes up late would carry a repeat to a host that has forgotten its key.
+TEST(Effects, AKeyedRepeatLeavesWithinTheWindowOfItsKeyOrNever) {
+  Relay r;
+  r.take(1, kKeyed);
+  ASSERT_EQ(r.sends.size(), 1U);
+  EXPECT_GE(r.sends[0].send.leave_within, 24h) << "nothing may have run before";
+  r.run_for(3s);
+  r.end(1, Result::timed_out);
+  r.run_for(1900ms);
+  ASSERT_EQ(r.sends.size(), 2U);
+  const Duration left = r.sends[0].at + 5s - r.sends[1].at;
+  EXPECT_LT(r.sends[1].send.leave_within, left);
+  EXPECT_GT(r.sends[1].send.leave_within, left - 200ms);
+  r.end(1, Result::connect_failed);
+  r.run_for(5s);
+  EXPECT_EQ(r.sends.size(), 2U) << "what never ran leaves the window where it was";
+  EXPECT_EQ(r.failed, std::vector{MessageId(1)});
+}
+
 // A hung destination never answers, so its p95 says nothing.
 TEST(Stall, AnOverdueCallStopsNewOnes) {
   Relay r;
