Try what a restart finds untried instead of handing it back to make room

At fault: make_room() and thin_out() in policy.cpp. A new process knows no latency, takes a guess (a fifth of the aim), reckons the backlog of what it has just found by it, and hands the lowest ranked back. Ruled out: full holds (max_open is never reached there), expiry, told waits (a restart ends them).

The relay's test fails without the mend: of 14 found 1 was called and 6 were handed back by then.

--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -153,6 +153,7 @@
   std::optional<std::uint32_t> tenant{};  // index into Settings::tenants
   std::optional<std::uint64_t> key{};
   std::vector<PastAttempt> past{};  // numbered before those that follow
+  bool recovered = false;           // found at a start among what an earlier process had taken on
 };
 
 struct Timer {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -230,6 +230,7 @@
     const std::size_t n = message.past.size() - 1;
     message.past.back().astray = n < astray.size() && astray[n];
   }
+  message.recovered = true;
   if (out && out->attempt < message.past.size()) message.past[out->attempt] = past(open_.at(id), *out);
   events_.emplace_back(std::move(message));
 }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -872,6 +872,28 @@
   EXPECT_EQ(r.refused[0].id, MessageId(6));
 }
 
+// It was promised to be tried, and nothing is known yet of how soon that can be: new work gives way to it.
+TEST(Restart, WhatIsFoundUntriedIsNotHandedBackToMakeRoom) {
+  Relay r;
+  r.step({change(HostState::gone)});
+  std::vector<Event> found;
+  for (std::uint32_t i = 1; i <= 120; ++i) {
+    Message m = r.message(i);
+    m.recovered = true;
+    if (i > 100) m.past = {{ZoneId(0), r.now - 1s, false}};  // these have been tried
+    found.emplace_back(std::move(m));
+  }
+  r.step(found);
+  ASSERT_EQ(r.refused.size(), 20U) << "those that were tried, for the bound still holds";
+  for (const Refuse& refusal : r.refused) EXPECT_GT(refusal.id, MessageId(100));
+  for (std::uint32_t i = 201; i <= 210; ++i) r.take(i);
+  ASSERT_EQ(r.refused.size(), 30U);
+  for (std::size_t i = 20; i < 30; ++i) EXPECT_GT(r.refused[i].id, MessageId(200)) << "new work is refused";
+  r.run_for(3s);
+  EXPECT_EQ(r.refused.size(), 30U);
+  EXPECT_TRUE(r.failed.empty());
+}
+
 TEST(Restart, AttemptsAreNumberedOnFromThePast) {
   Relay r;
   Message m = r.message(1, kOnce);
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -144,6 +144,36 @@
   EXPECT_TRUE(watched_.read([&] { return notices_.empty(); }));
 }
 
+// What was taken on and not tried is tried after a restart, though nothing is known there of the host that
+// answers so quickly: none of it goes back in a lump.
+TEST_F(RelayTest, WhatARestartFindsUntriedIsTried) {
+  add_host("h", 2, "plain", kAccept);
+  json::object slow = config();  // what is not known yet counts as slow
+  for (json::value& cls : slow.at("settings").at("classes").as_array()) cls.as_object()["aim"] = 10000.0;
+  start(slow);
+  for (int i = 0; i < 6; ++i) pass_marker("ru-quick-" + std::to_string(i), 2);
+  behave("h", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "60000"}});
+  });
+  ASSERT_EQ(hand_in("ru-told", "note", 2), 202U);
+  ASSERT_TRUE(wait_seen("ru-told"));
+  std::vector<std::string> untried;
+  for (int i = 0; i < 14; ++i) {
+    untried.push_back("ru-" + std::to_string(i));
+    const Request request = with_time(message(untried.back(), i % 2 ? "note" : "refund", 2), 10000);
+    ASSERT_EQ(ask(address_, request).result_int(), 202U);
+  }
+  EXPECT_EQ(stop(SIGKILL), 128 + SIGKILL);
+  behave("h", kAccept);
+  start(slow);  // a restart ends the wait
+  const auto called = [&](const std::string& id) { return seen(id) > 0; };
+  const auto given_up = [&](const std::string& id) { return notices_.contains(id); };
+  EXPECT_TRUE(watched_.wait(
+      [&] { return std::ranges::all_of(untried, called) || std::ranges::any_of(untried, given_up); }));
+  EXPECT_EQ(watched_.read([&] { return std::ranges::count_if(untried, called); }), 14);
+  EXPECT_EQ(watched_.read([&] { return std::ranges::count_if(untried, given_up); }), 0);
+}
+
 TEST_F(RelayTest, AttemptsCountAcrossRestarts) {
   add_host("h", 2, "plain", silent());
   start();
