Answer the request that crosses the close of a resting connection

A request that came between was read after the shutdown and dropped with no answer (close_gently); its client could only take it for unread and come again.

A read that was cancelled now goes on where bytes have come.

--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -186,6 +186,13 @@
     return state == State::closing || state == State::idle;
   }
 
+  // Bytes that are not read yet. Without them the connection may be closed between two requests; with them a
+  // request would be lost, or at best have to come again.
+  bool has_come() {
+    boost::system::error_code closed;
+    return stream.socket().is_open() && stream.socket().available(closed) > 0;
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   State state = State::fresh;
@@ -221,8 +228,7 @@
     }
     if (!worst) return false;
     const bool waiting = worst->state == Session::State::fresh || worst->state == Session::State::idle;
-    boost::system::error_code ignored;
-    if (waiting && worst->stream.socket().available(ignored) > 0) {
+    if (waiting && worst->has_come()) {
       worst->enter(Session::State::reading);  // its request has come, and will be read presently
       continue;
     }
@@ -251,8 +257,7 @@
   const auto now = Session::Clock::now();
   for (const auto& session : sessions_) {
     if (session->state != Session::State::idle || now - session->since < kLeaveIdle) continue;
-    boost::system::error_code ignored;
-    if (session->stream.socket().available(ignored) == 0) session->stream.cancel();
+    if (!session->has_come()) session->stream.cancel();
   }
   leave_timer_.expires_after(kLeaveLook);
   leave_timer_.async_wait([this](boost::system::error_code error) {
@@ -361,6 +366,8 @@
     if (session.buffer.size() == 0) {
       const auto [error, count] =
           co_await session.stream.async_read_some(session.buffer.prepare(kFirstRead), kAwait);
+      if (error == asio::error::operation_aborted && session.has_come())
+        continue;  // just as the connection was to be closed
       if (error) co_return;
       session.buffer.commit(count);
       if (session.state == Session::State::idle) session.stream.expires_after(kRequestWithin);
