Take a message that a bulk answer names with two ends as one that may have run

"done" and "busy" for one message prove neither; the first one counted as delivered, and nothing more was owed. It counts as failed now, as one that the answer does not name at all. Ids that the call did not carry were passed over before, and are now in the test too.

The test fails without the mend: the message ended as delivered, no notice came.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -180,7 +180,10 @@
     const json::value* id = entry->if_contains("id");
     const json::value* state = entry->if_contains("state");
     if (id && id->is_string() && state && state->is_string()) {
-      states.emplace(std::string(id->as_string()), std::string(state->as_string()));
+      // Named twice with different ends it may have run.
+      const auto [first, added] =
+          states.try_emplace(std::string(id->as_string()), std::string(state->as_string()));
+      if (!added && first->second != state->as_string()) first->second = "failed";
     }
   }
   return states;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -718,13 +718,18 @@
     for (const json::value& entry : parsed.as_array()) {
       const std::string id(entry.at("id").as_string());
       if (id == "q-unnamed") continue;
+      if (id == "q-doubled") {
+        for (const char* state : {"done", "busy"}) states.push_back({{"id", id}, {"state", state}});
+        states.push_back({{"id", "q-foreign"}, {"state", "done"}});
+        continue;
+      }
       states.push_back(json::object{{"id", id}, {"state", id.substr(2, id.find('-', 2) - 2)}});
     }
     return answer(socket, 200, json::serialize(states));
   });
   start();
   std::vector<std::thread> clients;
-  const std::vector<std::string> ids = {"q-done", "q-busy", "q-failed", "q-void", "q-unnamed"};
+  const std::vector<std::string> ids = {"q-done", "q-busy", "q-failed", "q-void", "q-unnamed", "q-doubled"};
   for (const std::string& id : ids) {
     clients.emplace_back([&, id] { EXPECT_EQ(hand_in(id, "refund", 1), 202U); });
   }
@@ -733,6 +738,7 @@
   EXPECT_TRUE(wait_seen("q-busy", 2)) << "it never ran";
   EXPECT_TRUE(wait_notice("q-failed", "given_up")) << "it may have run";
   EXPECT_TRUE(wait_notice("q-unnamed", "given_up")) << "nothing proves that it did not";
+  EXPECT_TRUE(wait_notice("q-doubled", "given_up")) << "named with two ends: neither is proven";
   pass_marker("r-marker", 1);
   EXPECT_EQ(count_seen("q-done"), 1U);
   EXPECT_EQ(count_seen("q-failed"), 1U);
