Test that another customer's settings decide alone

The relay's test starts it with other names for all of them, the once-only class first and short of time, a repeatable one last, batches of three, two attempts, tenants, and checks what each of these decides.

--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -483,6 +483,48 @@
   EXPECT_EQ(stop(SIGTERM), 0);
 }
 
+// ------------------------------------------------------------------------- other customers
+
+// Classes, kinds and zones have other names, the class that comes first and is short of time may not be
+// repeated, the last one may, and tenants have shares: all of it comes from the settings alone.
+TEST_F(RelayTest, AnotherCustomersSettingsDecideAlone) {
+  add_host("gone", 7, "rail-ways", [](tcp::socket&, Request&) { return false; });
+  add_host("told", 8, "cranes", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "300"}});
+  });
+  for (auto& [id, entry] : entries_) entry["zone"] = "pier-3";
+  json::object other = config();
+  json::object& settings = other.at("settings").as_object();
+  const auto cls = [](const char* name, double deadline, const char* effect, double worth) {
+    return json::object{{"name", name},          {"aim", deadline / 4}, {"deadline", deadline},
+                        {"idempotency", effect}, {"keyScope", "all"},   {"lateWorth", 0.2},
+                        {"window", 4000.0},      {"worth", worth}};
+  };
+  settings["classes"] = {cls("gate-open", 6000, "at_most_once", 0.5), cls("manifest", 24000, "idempotent", 7),
+                         cls("work-slip", 12000, "deduplicated", 4)};
+  settings["hostTypes"] = {"cranes", "rail-ways"};
+  settings["familyInfo"].as_object()["kindBatch"] = {3, 1};
+  settings["areas"] = {"pier-1", "pier-2", "pier-3"};
+  settings["zone"] = "pier-2";
+  settings["orgs"] = {json::object{{"name", "north-line"}, {"quotaPerS", 9.0}, {"fraction", 0.6}},
+                      json::object{{"name", "south-line"}, {"quotaPerS", 6.0}, {"fraction", 0.4}}};
+  settings["allowed"].as_object()["maxAttempts"] = 2;
+  start(other);
+  EXPECT_EQ(hand_in("oc0", "note", 7), 404U) << "a class of somebody else's";
+  ASSERT_EQ(hand_in("oc1", "gate-open", 7), 202U);
+  EXPECT_TRUE(wait_notice("oc1", "given_up"));
+  EXPECT_EQ(count_seen("oc1"), 1U) << "it may have run";
+  ASSERT_EQ(hand_in("oc2", "manifest", 7), 202U);
+  EXPECT_TRUE(wait_notice("oc2", "handed_back"));
+  EXPECT_EQ(count_seen("oc2"), 2U) << "as often as the settings say";
+  EXPECT_EQ(hand_in("oc3", "work-slip", 8), 400U) << "its class wants a key";
+  ASSERT_EQ(hand_in("oc4", "manifest", 8), 202U);
+  ASSERT_TRUE(wait_seen("oc4"));
+  behave("told", kAccept);
+  for (const char* id : {"oc5", "oc6", "oc7", "oc8"}) ASSERT_EQ(hand_in(id, "manifest", 8), 202U);
+  for (const char* id : {"oc4", "oc5", "oc6", "oc7", "oc8"}) EXPECT_TRUE(wait_seen(id)) << id;
+}
+
 // ------------------------------------------------------------------------- bad clients
 
 // Sends bytes and returns all that comes until the relay closes.
