--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -399,6 +399,36 @@
   EXPECT_TRUE(known("wb-", 4));
 }
 
+// Nobody ends it and it says nothing any more, or nothing from the first moment on: what it misses counts as
+// told 6 s later.
+TEST_F(RelayTest, AWatchThatFallsSilentIsOpenedAnew) {
+  constexpr auto kTold = 6s, kSlowMachine = 2s;
+  add_host("h", 2, "plain", kAccept);
+  json::object automatic = config();
+  automatic.at("settings").as_object()["discovery"] = "automatic";
+  const auto asked = [&](std::size_t times) {
+    return watched_.wait([&, times] { return asked_["first"].size() >= times; });
+  };
+  start(automatic);
+  ASSERT_TRUE(asked(1));
+  const auto silent = SteadyClock::now();
+  watched_.change([&] { silent_service_ = "first"; });  // the next one gets no answer at all
+  ASSERT_TRUE(asked(2));
+  EXPECT_LT(SteadyClock::now() - silent, kTold + kSlowMachine);
+  const auto silent_from_the_first = SteadyClock::now();
+  watched_.change([&] { silent_service_.clear(); });
+  ASSERT_TRUE(asked(3));
+  EXPECT_LT(SteadyClock::now() - silent_from_the_first, kTold + kSlowMachine);
+  add_host("h3", 3, "plain", kAccept);
+  push(list());
+  unsigned status = 0;
+  for (int i = 0; status != 202 && i < 500; ++i) {  // until it has come through, on the newest one
+    status = hand_in("ws" + std::to_string(i), "note", 3);
+    if (status != 202) std::this_thread::sleep_for(10ms);  // a pause between tries, not a guess
+  }
+  EXPECT_EQ(status, 202U);
+}
+
 TEST_F(RelayTest, ADrainingHostGetsNothingNew) {
   add_host("h1", 2, "plain", kAccept);
   add_host("h2", 2, "plain", kAccept);
