Count what was only to be called and was withheld as untried at a restart

At fault: the condition in shed(), which took a message with an attempt behind it for tried. What is found at a start now gives way only once this process has called for it (Entry::called).

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -348,7 +348,7 @@
     const Entry* least = nullptr;
     for (const MessageId id : held) {
       const Entry& e = entries_.at(id);
-      if (!may_refuse(e) || (e.message.recovered && e.attempts.empty())) continue;
+      if (!may_refuse(e) || (e.message.recovered && !e.called())) continue;
       if (!least || rank(e, 0s) <= rank(*least, 0s)) least = &e;  // of equals the newest
     }
     if (least) refuse(entries_.at(least->message.id));
--- a/src/records.h
+++ b/src/records.h
@@ -35,6 +35,9 @@
   bool done = false;
   bool held = false;
 
+  // Here, by this process: attempts before a restart may have been withheld, which was no call.
+  bool called() const { return attempts.size() > message.past.size(); }
+
   // When the first attempt that may have run was sent.
   std::optional<Time> first_risky_send() const {
     const auto a = std::ranges::find_if(
