Give calls moments instead of spans: time-out and end of a key's window

With copies or durability `power` a call waits for others' word or the disk before its connection is opened. HostClient counted the span within which a keyed repeat has to leave, and the time-out, from the moment at which it was asked (write() and item_deadline() in host_client.cpp, from Call::started), so both were too long by that wait: 200 ms for a slow holder, twice the margin that the module keeps of a key's window.

The module names the moment now (Send::leave_by), the relay turns the time-out into one at its step, and whatever comes between counts. X-Timeout-Ms states what is left as the request is written.

HostClientTest.WhatWaitedBeforeItsCallHasNoMoreTimeForThat fails on the code before (both messages went out, the second for want of an answer hung until the test's end) and passes now. The two tests that named the span name the moment, with the same bounds.

--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -203,7 +203,7 @@
   Duration idle_most = Duration::max();  // a connection that has lain idle for longer must not carry it
   bool prove =
       false;  // its connection is to stand its first bytes before the last one, with which it may run
-  Duration leave_within = Duration::max();  // it may not begin to run any later: the last byte stays here
+  Time leave_by = Time::max();  // it may not begin to run any later: the last byte stays here
 };
 struct Refuse {
   MessageId id{};
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -82,10 +82,10 @@
   http::request<http::string_body> request{http::verb::post, "/inbox", 11};
   request.set(http::field::host, address.address().to_string() + ":" + std::to_string(address.port()));
   if (!via.empty()) request.set(http::field::via, "1.1 " + via);
-  Duration longest{};
-  for (const CallItem& item : items) longest = std::max(longest, item.timeout);
-  request.set("X-Timeout-Ms",
-              std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()));
+  const auto left = std::ranges::max(items, {}, &CallItem::until).until - steady_time();
+  request.set(
+      "X-Timeout-Ms",
+      std::to_string(std::chrono::floor<std::chrono::milliseconds>(std::max(left, Duration(1ms))).count()));
   if (items.size() == 1) {
     const Payload& payload = *items.front().payload;
     request.set("X-Request-ID", payload.id);
@@ -217,7 +217,7 @@
 struct HostClient::Call {
   explicit Call(const asio::any_io_executor& executor) : timer(executor) {}
 
-  SteadyTime item_deadline(std::size_t i) const { return started + items[i].timeout; }
+  SteadyTime item_deadline(std::size_t i) const { return SteadyTime(items[i].until.time_since_epoch()); }
   void close() {
     boost::system::error_code ignored;
     closed = true;
@@ -386,9 +386,9 @@
     if (!stands) co_return;
     request = last;
   }
-  const Duration most = std::ranges::min(call.items, {}, &CallItem::leave_within).leave_within;
+  const vetchhinge::Time leave_by = std::ranges::min(call.items, {}, &CallItem::leave_by).leave_by;
   const bool allowed = !limits_.may_leave || std::ranges::all_of(call.items, limits_.may_leave);
-  if (!allowed || since(call.started) > most) {
+  if (!allowed || steady_time() > leave_by) {
     call.withheld = true;
     co_return;
   }
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -6,6 +6,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -20,6 +21,12 @@
 
 namespace myrtlegrade {
 
+// The steady clock in the module's unit.
+inline vetchhinge::Time steady_time(
+    std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now()) {
+  return vetchhinge::Time(std::chrono::duration_cast<vetchhinge::Duration>(at.time_since_epoch()));
+}
+
 // What goes to a host unchanged.
 struct Payload {
   std::string id;
@@ -31,11 +38,10 @@
   vetchhinge::MessageId message{};
   std::uint32_t attempt = 0;
   std::shared_ptr<const Payload> payload;
-  vetchhinge::Duration timeout{};
+  vetchhinge::Time until{};  // its answer counts no longer; by steady_time(), as all moments here
   vetchhinge::Duration idle_most = vetchhinge::Duration::max();  // of the connection that carries it
   bool prove = false;  // the last byte waits until the connection has stood the others
-  vetchhinge::Duration leave_within =
-      vetchhinge::Duration::max();  // the last byte goes out by then, or never
+  vetchhinge::Time leave_by = vetchhinge::Time::max();  // the last byte goes out by then, or never
 };
 
 struct CallResult {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -141,9 +141,7 @@
   keep_log();
 }
 
-vetchhinge::Time Relay::now() const {
-  return vetchhinge::Time(std::chrono::duration_cast<Duration>(SteadyClock::now().time_since_epoch()));
-}
+vetchhinge::Time Relay::now() const { return steady_time(); }
 
 MessageId Relay::new_id() {
   do {
@@ -599,11 +597,12 @@
   }
   if (open.attempts > 0) ++counters_.repeats;
   const WallTime sent = wall_now();
+  const vetchhinge::Time decided = steady_time(last_step_);
   const std::uint64_t number =
       items->empty() ? ++last_call_ : open_.at(items->front().message).out.back().call;
   open.out.push_back({open.attempts, send.host, number, sent, false});
-  items->push_back(
-      {send.id, open.attempts++, open.payload, send.timeout, send.idle_most, send.prove, send.leave_within});
+  items->push_back({send.id, open.attempts++, open.payload, decided + send.timeout, send.idle_most,
+                    send.prove, send.leave_by});
   ++hosts_.at(send.host).out;
   journal_.attempt(open.payload->id,
                    {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -595,13 +595,13 @@
     activate(h.lane);
     unhold(e);
     ++e.out;
-    const Duration leave_within = window_end(e).value_or(Time::max()) - now_;
+    const Time leave_by = window_end(e).value_or(Time::max());
     e.attempts.push_back({at, h.step_call, h.zone, now_});
     if (in_turn(e)) ++keys_.at(*e.message.key).out;
     const IdleAge& age = idle_ages_[d.kind];
     const bool once = s_.classes[e.message.cls].effect == Effect::at_most_once;
     actions_.push_back(
-        Send{e.message.id, h.id, timeout(e, l), once ? age.keep_once() : age.keep(), once, leave_within});
+        Send{e.message.id, h.id, timeout(e, l), once ? age.keep_once() : age.keep(), once, leave_by});
   }
 
   // Long enough for a slow destination that works, short enough that a silent one doesn't pin slots.
--- a/tests/host_client_test.cpp
+++ b/tests/host_client_test.cpp
@@ -38,7 +38,7 @@
 
   CallItem item(std::uint32_t id, vetchhinge::Duration timeout = 20s, std::size_t body = 5) {
     auto payload = std::make_shared<const Payload>(Payload{std::to_string(id), "", std::string(body, 'x')});
-    return {MessageId(id), 0, payload, timeout};
+    return {MessageId(id), 0, payload, steady_time() + timeout};
   }
   void call(std::vector<CallItem> items) { client_.call(HostId(1), address_, std::move(items)); }
 
@@ -206,6 +206,21 @@
   EXPECT_EQ(results_[0].second.result, Result::not_sent);
 }
 
+// A call may wait for others' word, or the disk, before it is made: that wait counts against its moments.
+TEST_F(HostClientTest, WhatWaitedBeforeItsCallHasNoMoreTimeForThat) {
+  CallItem late = item(1);
+  late.leave_by = steady_time() + 30ms;
+  const CallItem brief = item(2, 30ms);
+  run_until([&] { return steady_time() > late.leave_by; });
+  call({late});
+  ASSERT_TRUE(run_until([&] { return !results_.empty(); }));
+  EXPECT_EQ(results_[0].second.result, Result::not_sent);
+  EXPECT_TRUE(results_[0].second.connection.established);
+  call({brief});
+  ASSERT_TRUE(run_until([&] { return results_.size() == 2; }));
+  EXPECT_EQ(results_[1].second.result, Result::connect_failed) << "no byte of it went out";
+}
+
 // Its connection comes up after the moment until which it may begin to run.
 TEST_F(HostClientTest, WhatMayNotLeaveSoLateStaysHere) {
   ::listen(acceptor_.native_handle(), 0);
@@ -215,7 +230,7 @@
     crowd.back().async_connect(acceptor_.local_endpoint(), [](boost::system::error_code) {});
   }
   CallItem late = item(1);
-  late.leave_within = 50ms;
+  late.leave_by = steady_time() + 50ms;
   CallItem free = item(2);
   call({free, late});
   const auto due = std::chrono::steady_clock::now() + 60ms;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -568,14 +568,14 @@
   Relay r;
   r.take(1, kKeyed);
   ASSERT_EQ(r.sends.size(), 1U);
-  EXPECT_GE(r.sends[0].send.leave_within, 24h) << "nothing may have run before";
+  EXPECT_GE(r.sends[0].send.leave_by, r.now + 24h) << "nothing may have run before";
   r.run_for(3s);
   r.end(1, Result::timed_out);
   r.run_for(1900ms);
   ASSERT_EQ(r.sends.size(), 2U);
-  const Duration left = r.sends[0].at + 5s - r.sends[1].at;
-  EXPECT_LT(r.sends[1].send.leave_within, left);
-  EXPECT_GT(r.sends[1].send.leave_within, left - 200ms);
+  const Time end = r.sends[0].at + 5s;
+  EXPECT_LT(r.sends[1].send.leave_by, end);
+  EXPECT_GT(r.sends[1].send.leave_by, end - 200ms);
   r.end(1, Result::connect_failed);
   r.run_for(5s);
   EXPECT_EQ(r.sends.size(), 2U) << "what never ran leaves the window where it was";
