Play restarts at random moments against keys that are remembered for one second

36 plays, each one relay with a class of a window of 1 s, hosts that refuse, fail, hold, reset and lose answers, and one whose connections never come up; the process is killed three times (right behind a 202, as a host has its call, at any moment, also after SIGTERM or with a request half done) and started again within 0.5 s.

--- /dev/null
+++ b/tests/window_test.cpp
@@ -0,0 +1,229 @@
+// Keyed work whose key is remembered for one second, over restarts: no repeat may come to a host after that
+// second, and what may still be tried is tried.
+#include <netinet/tcp.h>
+
+#include <iostream>
+#include <random>
+
+#include "journal_view.h"
+#include "relay_fixture.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+constexpr auto kWindow = 1000ms;
+constexpr auto kAtLeast =
+    300ms;  // of it left, work found at a start must be tried: the relay's margin, a load
+
+// When the last byte that was read came in, by the kernel: a host's thread may run late.
+SteadyClock::time_point arrival(tcp::socket& socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  EXPECT_EQ(::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size), 0);
+  return SteadyClock::now() - std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
+struct Arrival {
+  SteadyClock::time_point at;
+  bool ran = false, delivered = false;
+};
+
+struct Counts {
+  std::size_t messages = 0, kills = 0, arrivals = 0, repeats = 0, must = 0, over = 0;
+};
+
+// One relay and its hosts, killed and started again at moments that follow from the seed.
+class Play : public RelayTest {
+ public:
+  explicit Play(unsigned seed) : seed_(seed), random_(seed), hole_(context_, {tcp::v4(), 0}) {
+    for (const char* host : {"h1", "h2"}) add_host(host, 2, "plain", host_behaviour());
+    add_host("b", 3, "bulk", host_behaviour());
+    // Its connections never come up: the backlog is full.
+    ::listen(hole_.native_handle(), 0);
+    const tcp::endpoint at(boost::asio::ip::address_v4::loopback(), hole_.local_endpoint().port());
+    for (int i = 0; i < 4; ++i) {
+      crowd_.emplace_back(context_);
+      crowd_.back().async_connect(at, [](boost::system::error_code) {});
+    }
+    list_host("hole", 2, "plain", "127.0.0.1:" + std::to_string(at.port()));
+  }
+
+  void run() {
+    SCOPED_TRACE("seed " + std::to_string(seed_));
+    for (int life = 0; life < 3; ++life) {
+      start(brief());
+      const std::string last = hand_in_some(life);
+      end(last);
+      std::this_thread::sleep_for(upto(500ms));
+    }
+    watched_.change([this] { calm_ = true; });
+    entries_.erase("hole");
+    start(brief());
+    judge_found();
+    const auto over = [this](const std::string& id) { return delivered(id) || notices_.contains(id); };
+    EXPECT_TRUE(watched_.wait([&] { return std::ranges::all_of(taken_, over); })) << "no final answer";
+    stop(SIGKILL);
+    judge_arrivals();
+  }
+  const Counts& counts() const { return counts_; }
+
+ private:
+  void TestBody() override {}
+
+  template <typename Span>
+  std::chrono::microseconds upto(Span most) {
+    return std::chrono::microseconds(random_() % std::chrono::microseconds(most).count());
+  }
+  bool one_in(unsigned n) { return random_() % n == 0; }
+
+  json::object brief() const {
+    json::object changed = config();
+    json::object& settings = changed.at("settings").as_object();
+    settings.at("allowed").as_object()["maxAttempts"] = 12;
+    json::object& keyed = settings.at("classes").at(1).as_object();
+    keyed["window"] = static_cast<double>(kWindow.count());
+    keyed["aim"] = 400.0;
+    return changed;
+  }
+
+  // A host's deed follows from the message and how often it has come.
+  Behaviour host_behaviour() {
+    return [this](tcp::socket& socket, Request& request) {
+      const auto at = arrival(socket);
+      std::vector<std::string> ids;
+      if (request.target() == "/inbox") {
+        ids.emplace_back(request["X-Request-ID"]);
+      } else {
+        const json::value parsed = json::parse(request.body());
+        for (const json::value& entry : parsed.as_array()) ids.emplace_back(entry.at("id").as_string());
+      }
+      unsigned deed = 0;
+      std::chrono::milliseconds hold{};
+      watched_.change([&] {
+        std::mt19937 draw(seed_ * 7919 + static_cast<unsigned>(std::hash<std::string>()(ids.front())) +
+                          static_cast<unsigned>(arrivals_[ids.front()].size()));
+        deed = calm_ ? 0 : draw() % 7;
+        hold = std::chrono::milliseconds(draw() % 900);
+        for (const std::string& id : ids) arrivals_[id].push_back({at, deed != 1, deed == 0});
+      });
+      if (deed == 0) return kAccept(socket, request);
+      if (deed == 1) return answer(socket, 503);
+      if (deed == 2) return answer(socket, 500);
+      if (deed > 3) std::this_thread::sleep_for(hold);  // then the answer is lost
+      boost::system::error_code ignored;
+      if (deed < 6) socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+      return false;
+    };
+  }
+
+  // Returns the id of the last one.
+  std::string hand_in_some(int life) {
+    std::string id;
+    for (unsigned i = 0; i < 3 + random_() % 2; ++i) {
+      id = "w" + std::to_string(seed_) + "-" + std::to_string(life) + "-" + std::to_string(i);
+      if (hand_in(id, "receipt", one_in(3) ? 3 : 2) == 202) taken_.push_back(id);
+      if (one_in(2)) std::this_thread::sleep_for(upto(200ms));
+    }
+    return id;
+  }
+
+  // Right behind the 202, as a host has its call, or at any moment; half the time with a request half done.
+  void end(const std::string& last) {
+    std::thread half;
+    if (one_in(2)) {
+      half = std::thread([this, id = last + "-half"] {
+        try {
+          hand_in(id, "receipt", 2);
+        } catch (const boost::system::system_error&) {
+        }
+      });
+    }
+    const unsigned when = random_() % 3;
+    const auto moment = upto(when == 1 ? 4ms : 900ms);
+    const auto latest = SteadyClock::now() + 400ms;
+    while (when == 1 && SteadyClock::now() < latest &&
+           !watched_.read([&] { return arrivals_.contains(last); }))
+      std::this_thread::sleep_for(100us);
+    if (when > 0) std::this_thread::sleep_for(moment);
+    if (one_in(3)) {
+      process_->signal(SIGTERM);
+      std::this_thread::sleep_for(upto(600ms));
+    }
+    stop(SIGKILL);
+    ++counts_.kills;
+    if (half.joinable()) half.join();
+    // What the journal holds to have surely not run has not run.
+    found_ = view_journal(folder_ / "state").messages;
+    for (const StoredMessage& m : found_) {
+      const bool risky = std::ranges::any_of(m.attempts, &StoredAttempt::may_have_run);
+      const bool ran = watched_.read([&] { return std::ranges::any_of(arrivals_[m.id], &Arrival::ran); });
+      EXPECT_TRUE(risky || !ran) << m.id;
+    }
+  }
+
+  bool delivered(const std::string& id) { return std::ranges::any_of(arrivals_[id], &Arrival::delivered); }
+
+  // What the last start found, and may be tried by the journal and the clock, is.
+  void judge_found() {
+    const auto now = std::chrono::system_clock::now();
+    for (const StoredMessage& m : found_) {
+      const auto risky = std::ranges::find_if(m.attempts, &StoredAttempt::may_have_run);
+      if (risky != m.attempts.end() && now > risky->sent + kWindow - kAtLeast) {
+        ++counts_.over;
+        continue;
+      }
+      ++counts_.must;
+      EXPECT_TRUE(watched_.wait([&] { return delivered(m.id) || notices_.contains(m.id); }));
+      EXPECT_TRUE(watched_.read([&] { return delivered(m.id); })) << m.id << " was not tried";
+    }
+  }
+
+  void judge_arrivals() {
+    counts_.messages = taken_.size();
+    for (const auto& [id, arrivals] : arrivals_) {
+      counts_.arrivals += arrivals.size();
+      const auto first = std::ranges::find_if(arrivals, &Arrival::ran);
+      for (auto later = first; later != arrivals.end() && ++later != arrivals.end();) {
+        ++counts_.repeats;
+        EXPECT_LE(later->at - first->at, kWindow) << id << " could take effect twice";
+      }
+    }
+  }
+
+  unsigned seed_;
+  std::mt19937 random_;
+  boost::asio::io_context context_;
+  tcp::acceptor hole_;
+  std::vector<tcp::socket> crowd_;
+  bool calm_ = false;
+  std::map<std::string, std::vector<Arrival>> arrivals_;
+  std::vector<std::string> taken_;
+  std::vector<StoredMessage> found_;  // at the last kill
+  Counts counts_;
+};
+
+TEST(Window, RestartsAtAnyMomentBringNoRepeatAfterItAndLeaveNoneOutInsideIt) {
+  constexpr unsigned kPlays = 36, kAtOnce = 12;
+  Counts all;
+  for (unsigned first = 1; first <= kPlays; first += kAtOnce) {
+    std::vector<std::unique_ptr<Play>> plays;
+    for (unsigned seed = first; seed < first + kAtOnce; ++seed) plays.push_back(std::make_unique<Play>(seed));
+    std::vector<std::thread> threads;
+    for (const auto& play : plays) threads.emplace_back([&play] { play->run(); });
+    for (std::thread& thread : threads) thread.join();
+    for (const auto& play : plays) {
+      const Counts& c = play->counts();
+      all = {all.messages + c.messages, all.kills + c.kills, all.arrivals + c.arrivals,
+             all.repeats + c.repeats,   all.must + c.must,   all.over + c.over};
+    }
+  }
+  std::cout << kPlays << " plays, " << all.kills << " kills, " << all.messages << " messages taken on, "
+            << all.arrivals << " calls came, " << all.repeats << " repeats; the last starts found "
+            << all.must << " to try and " << all.over << " whose window was over or nearly" << std::endl;
+  EXPECT_GT(all.repeats, 30U);
+  EXPECT_GT(all.must, 10U);
+  EXPECT_GT(all.over, 10U);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
