Keep moments by both clocks, so that a clock that is set opens no key's window again

The same after a start of the machine with a clock that is behind. At fault: here() in Relay::take_up() (steady + (at - wall)) and past(), which moved a call's moment into times to come, and its window with it; likewise the time of a message, which lived for longer by the step.

What is kept is a Moment now: the time of day, the steady clock, and the number of the machine's run that the latter belongs to. Where that is the same, the clock counts by which more time has passed; where it is not, the time of day, and what it has sent in times to come was sent long ago. Both err on the side of no repeat. An attempt that another process still has out counts from its record too. wall_now() in relay.cpp and relay_copies.cpp is gone for read_clocks().

Moments.CountBy… and RelayTest.AClockThatWasSet… fail with the conversion as it was (two repeats sent, none given up); with the window begun anew at each start Window.Restarts… names more than ten repeats that could take effect twice.

--- a/relay/commands.cpp
+++ b/relay/commands.cpp
@@ -376,13 +376,13 @@
       attempts.push_back({{"host", a.host},
                           {"zone", a.zone},
                           {"may_have_run", a.may_have_run},
-                          {"sent_us", a.sent.time_since_epoch().count()}});
+                          {"sent_us", a.sent.wall.time_since_epoch().count()}});
     }
     return {{"id", m.id},
             {"class", m.cls},
             {"dest", m.destination},
             {"body_bytes", m.body.size()},
-            {"deadline_us", m.deadline.time_since_epoch().count()},
+            {"deadline_us", m.deadline.wall.time_since_epoch().count()},
             {"attempts", std::move(attempts)}};
   }
 
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -6,7 +6,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
-#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,16 +16,11 @@
 #include <vector>
 
 #include "host_list.h"
+#include "moment.h"
 #include "vetchhinge/policy.h"
 
 namespace myrtlegrade {
 
-// The steady clock in the module's unit.
-inline vetchhinge::Time steady_time(
-    std::chrono::steady_clock::time_point at = std::chrono::steady_clock::now()) {
-  return vetchhinge::Time(std::chrono::duration_cast<vetchhinge::Duration>(at.time_since_epoch()));
-}
-
 // What goes to a host unchanged.
 struct Payload {
   std::string id;
--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -89,14 +89,9 @@
 void Journal::append(std::string record) { pending_ += std::move(record); }
 
 void Journal::accept(const StoredMessage& m) {
-  std::string record = Writer(Kind::accept)
-                           .text(m.id)
-                           .text(m.cls)
-                           .number(m.destination)
-                           .text(m.key)
-                           .text(m.body)
-                           .time(m.deadline)
-                           .record();
+  Writer out(Kind::accept);
+  out.text(m.id).text(m.cls).number(m.destination).text(m.key).text(m.body);
+  std::string record = write(out, m.deadline).record();
   const std::size_t reserved = record.size() + kGrowth;
   append(record);
   if (index_.contains(m.id)) return;
@@ -108,7 +103,7 @@
 void Journal::attempt(const std::string& id, const StoredAttempt& a) {
   const auto found = index_.find(id);
   if (found == index_.end()) return;
-  const std::string record = Writer(Kind::attempt).text(id).text(a.host).text(a.zone).time(a.sent).record();
+  const std::string record = write(Writer(Kind::attempt).text(id).text(a.host).text(a.zone), a.sent).record();
   live_.at(found->second).records += record;
   append(record);
 }
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -18,17 +18,15 @@
 #include <utility>
 #include <vector>
 
+#include "moment.h"
 #include "recovery/disk.h"
 
 namespace myrtlegrade {
 
-// Steady clocks start anew with a machine; what is kept tells the time of day.
-using WallTime = std::chrono::time_point<std::chrono::system_clock, std::chrono::microseconds>;
-
 struct StoredAttempt {
   std::string host;
   std::string zone;
-  WallTime sent{};
+  Moment sent;
   bool may_have_run = true;  // until its outcome proves that it did not
 };
 
@@ -38,7 +36,7 @@
   std::uint64_t destination = 0;
   std::string key;  // empty: none
   std::string body;
-  WallTime deadline{};
+  Moment deadline;
   std::vector<StoredAttempt> attempts;
 };
 
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -6,6 +6,21 @@
 
 namespace myrtlegrade {
 
+Writer& write(Writer& out, const Moment& at) { return out.time(at.wall).number(at.boot).time(at.steady); }
+
+namespace {
+
+// Earlier programs wrote the time of day alone.
+Moment read_moment(Reader& in) {
+  Moment at{in.time<WallTime>(), 0, {}};
+  if (in.empty()) return at;
+  at.boot = in.number();
+  at.steady = in.time<vetchhinge::Time>();
+  return at;
+}
+
+}  // namespace
+
 std::optional<JournalRecord> parse_record(std::string_view payload) {
   Reader in(payload);
   JournalRecord r;
@@ -17,10 +32,10 @@
   r.id = in.text();
   switch (r.kind) {
     case RecordKind::accept:
-      r.message = {r.id, in.text(), in.number(), in.text(), in.text(), in.time<WallTime>(), {}};
+      r.message = {r.id, in.text(), in.number(), in.text(), in.text(), read_moment(in), {}};
       break;
     case RecordKind::attempt:
-      r.attempt = {in.text(), in.text(), in.time<WallTime>()};
+      r.attempt = {in.text(), in.text(), read_moment(in)};
       break;
     case RecordKind::never_ran:
       r.number = in.number();
--- a/relay/journal_records.h
+++ b/relay/journal_records.h
@@ -6,10 +6,14 @@
 #include <string>
 #include <string_view>
 
+#include "bytes.h"
 #include "journal.h"
 
 namespace myrtlegrade {
 
+// Always the last field of its record.
+Writer& write(Writer& out, const Moment& at);
+
 enum class RecordKind : std::uint8_t {
   accept = 1,
   attempt,
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -42,10 +42,6 @@
 
 constexpr auto kLogEvery = 5s;  // one line at most
 
-WallTime wall_now() {
-  return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
-}
-
 std::size_t part_of(std::size_t descriptors, double share) {
   const std::size_t shared = std::max(descriptors, kSetAside + kLeastShared) - kSetAside;
   return static_cast<std::size_t>(static_cast<double>(shared) * share);
@@ -190,7 +186,7 @@
       Payload{std::move(message.id), std::move(message.key), std::move(message.body)});
   open.cls = std::move(message.cls);
   open.destination = message.destination;
-  open.deadline = wall_now() + message.time_left;
+  open.deadline = read_clocks() + message.time_left;
   open.respond = std::move(respond);
   ids_.emplace(open.payload->id, id);
   const vetchhinge::DestinationId destination{open.destination};
@@ -209,7 +205,7 @@
     discovery_.send(notice);
     return;
   }
-  const auto here = [wall = wall_now(), steady = now()](WallTime at) { return steady + (at - wall); };
+  const Moment present = read_clocks();
   const MessageId id = new_id();
   Open open;
   open.payload = std::make_shared<const Payload>(Payload{stored.id, stored.key, stored.body});
@@ -221,15 +217,18 @@
   open_.emplace(id, std::move(open));
   ++held_;
   vetchhinge::Message message{
-      id, *cls, vetchhinge::DestinationId(stored.destination), here(stored.deadline), {}, {}, {}};
+      id, *cls, vetchhinge::DestinationId(stored.destination), due_at(stored.deadline, present), {}, {}, {}};
   for (const StoredAttempt& attempt : stored.attempts) {
     message.past.push_back({vetchhinge::ZoneId{config_.dialect.zones.number(attempt.zone)},
-                            here(attempt.sent), attempt.may_have_run});
+                            sent_at(attempt.sent, present), attempt.may_have_run});
     const std::size_t n = message.past.size() - 1;
     message.past.back().astray = n < astray.size() && astray[n];
   }
   message.recovered = true;
-  if (out && out->attempt < message.past.size()) message.past[out->attempt] = past(open_.at(id), *out);
+  if (out && out->attempt < message.past.size()) {
+    vetchhinge::PastAttempt& at = message.past[out->attempt];
+    at = past(open_.at(id), *out, at.sent);
+  }
   events_.emplace_back(std::move(message));
 }
 
@@ -247,11 +246,11 @@
   ids_.emplace(out.message, id);
   vetchhinge::Message message{id, *cls, vetchhinge::DestinationId(out.destination), now(), {}, {}, {}};
   message.past.resize(out.attempt);  // that never ran, for all that it matters now
-  message.past.push_back(past(open, out));
+  message.past.push_back(past(open, out, sent_at({out.sent}, read_clocks())));
   events_.emplace_back(std::move(message));
 }
 
-vetchhinge::PastAttempt Relay::past(Open& open, const OutCall& out) {
+vetchhinge::PastAttempt Relay::past(Open& open, const OutCall& out, vetchhinge::Time sent) {
   const HostId id{config_.dialect.hosts.number(out.host)};
   const auto [host, added] = hosts_.try_emplace(id);
   if (added) {  // gone from the list meanwhile
@@ -261,7 +260,7 @@
   ++host->second.out;
   open.out.push_back({out.attempt, id, out.call, out.sent, true});
   const vetchhinge::ZoneId zone{config_.dialect.zones.number(out.zone)};
-  return {zone, now() + (out.sent - wall_now()), true, true, id, out.call};
+  return {zone, sent, true, true, id, out.call};
 }
 
 // The client did not hear that its message is taken on, so it hands it in again elsewhere.
@@ -596,11 +595,11 @@
     items = &calls.emplace_back(send.host, std::vector<CallItem>{}).second;
   }
   if (open.attempts > 0) ++counters_.repeats;
-  const WallTime sent = wall_now();
+  const Moment sent = read_clocks();
   const vetchhinge::Time decided = steady_time(last_step_);
   const std::uint64_t number =
       items->empty() ? ++last_call_ : open_.at(items->front().message).out.back().call;
-  open.out.push_back({open.attempts, send.host, number, sent, false});
+  open.out.push_back({open.attempts, send.host, number, sent.wall, false});
   items->push_back({send.id, open.attempts++, open.payload, decided + send.timeout, send.idle_most,
                     send.prove, send.leave_by});
   ++hosts_.at(send.host).out;
@@ -615,7 +614,7 @@
 void Relay::lead_with_longest(Calls& calls) const {
   for (auto& [host, items] : calls) {
     std::ranges::stable_sort(items, std::greater{},
-                             [this](const CallItem& item) { return open_.at(item.message).deadline; });
+                             [this](const CallItem& item) { return open_.at(item.message).deadline.steady; });
   }
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -91,7 +91,7 @@
     std::shared_ptr<const Payload> payload;
     std::string cls;
     std::uint64_t destination = 0;
-    WallTime deadline{};
+    Moment deadline;
     Server::Respond respond;      // set until the client has its answer
     std::uint32_t listeners = 1;  // connections that handed it in and may hear the answer
     std::uint32_t attempts = 0;
@@ -121,7 +121,7 @@
   vetchhinge::HostList take_list(const ListUpdate& update);
   void take_up(const StoredMessage& stored, const OutCall* out, const std::vector<bool>& astray = {});
   void take_up_out(const OutCall& out);
-  vetchhinge::PastAttempt past(Open& open, const OutCall& out);
+  vetchhinge::PastAttempt past(Open& open, const OutCall& out, vetchhinge::Time sent);
   std::vector<OutCall> calls_out() const;
   ListUpdate list_now() const;
   void forget_if_gone(vetchhinge::HostId host);
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -16,15 +16,11 @@
 
 namespace {
 
-WallTime wall_now() {
-  return std::chrono::time_point_cast<std::chrono::microseconds>(std::chrono::system_clock::now());
-}
-
 std::chrono::milliseconds whole_ms(Duration d) { return std::chrono::ceil<std::chrono::milliseconds>(d); }
 
 // The same moment on the clock that copies tell time by, and back.
-copies::Time to_copies(WallTime at) { return CopyNet::now() + (at - wall_now()); }
-WallTime from_copies(copies::Time at) { return wall_now() + (at - CopyNet::now()); }
+copies::Time to_copies(const Moment& at) { return CopyNet::now() + until(at, read_clocks()); }
+Moment from_copies(copies::Time at) { return read_clocks() + (at - CopyNet::now()); }
 
 }  // namespace
 
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -5,6 +5,9 @@
 
 #include <filesystem>
 #include <fstream>
+#include <tuple>
+
+#include "journal_records.h"
 
 namespace myrtlegrade {
 namespace {
@@ -21,7 +24,7 @@
   ~JournalTest() override { fs::remove_all(folder_); }
 
   static StoredMessage message(const std::string& id, std::size_t body = 20) {
-    return {id, "refund", 7, "key-" + id, std::string(body, '\0'), WallTime(5s), {}};
+    return {id, "refund", 7, "key-" + id, std::string(body, '\0'), {WallTime(5s)}, {}};
   }
   fs::path file() const { return fs::path(folder_) / "journal"; }
   std::uintmax_t on_disk() const {
@@ -37,8 +40,8 @@
   {
     Journal journal(folder_, 3'000'000);
     for (const char* id : {"b", "a", "c"}) journal.accept(message(id));
-    journal.attempt("a", {"h1", "z", WallTime(1s)});
-    journal.attempt("a", {"h2", "z", WallTime(2s)});
+    journal.attempt("a", {"h1", "z", {WallTime(1s)}});
+    journal.attempt("a", {"h2", "z", {WallTime(2s)}});
     journal.never_ran("a", 0);
     journal.end("c");
     journal.end_owing({"b", true, 250ms});
@@ -50,7 +53,7 @@
   EXPECT_EQ(messages[0].id, "a");
   EXPECT_EQ(messages[0].key, "key-a");
   EXPECT_EQ(messages[0].body, std::string(20, '\0'));
-  EXPECT_EQ(messages[0].deadline, WallTime(5s));
+  EXPECT_EQ(messages[0].deadline.wall, WallTime(5s));
   ASSERT_EQ(messages[0].attempts.size(), 2U);
   EXPECT_FALSE(messages[0].attempts[0].may_have_run);
   EXPECT_TRUE(messages[0].attempts[1].may_have_run) << "its outcome was lost with the process";
@@ -63,6 +66,34 @@
 }
 
 // A kill may cut a write at any byte: what was whole before it must be read, and what is appended later too.
+// Both clocks come back; of what an earlier program wrote the time of day does.
+TEST_F(JournalTest, MomentsComeBackWholeAndThoseOfAnEarlierProgramAsFarAsTheyGo) {
+  const Moment at{WallTime(5s), 77, vetchhinge::Time(9s)};
+  {
+    Journal journal(folder_, 3'000'000);
+    journal.accept({"a", "receipt", 7, "k", "b", at + 1s, {}});
+    journal.attempt("a", {"h", "z", at});
+    ASSERT_TRUE(journal.flush());
+  }
+  std::ofstream(file(), std::ios::app)
+      << Writer(RecordKind::accept)
+             .text("b")
+             .text("receipt")
+             .number(7)
+             .text("k")
+             .text("b")
+             .time(at.wall)
+             .record()
+      << Writer(RecordKind::attempt).text("b").text("h").text("z").time(at.wall).record();
+  const auto messages = Journal(folder_, 3'000'000).take_messages();
+  ASSERT_EQ(messages.size(), 2U);
+  const auto whole = [](const Moment& m) { return std::tuple(m.wall, m.boot, m.steady); };
+  EXPECT_EQ(whole(messages[0].deadline), whole(at + 1s));
+  EXPECT_EQ(whole(messages[0].attempts.at(0).sent), whole(at));
+  EXPECT_EQ(whole(messages[1].deadline), whole({at.wall}));
+  EXPECT_EQ(whole(messages[1].attempts.at(0).sent), whole({at.wall}));
+}
+
 TEST_F(JournalTest, ATornTailIsCutAtAnyByte) {
   std::uintmax_t whole = 0;
   {
--- a/tests/recovery_test.cpp
+++ b/tests/recovery_test.cpp
@@ -47,12 +47,12 @@
   for (int n = 0; n < 120; ++n) {
     const std::string id = number(n);
     if (!journal.has_room(2000)) break;
-    journal.accept({id, "collection", 7, "", std::string(1200, 'b'), WallTime(5s), {}});
+    journal.accept({id, "collection", 7, "", std::string(1200, 'b'), {WallTime(5s)}, {}});
     if (broken == Broken::told_before_sync) told.taken.insert(id);
     if (!durable()) break;
     told.taken.insert(id);
     if (n % 3 == 0) {
-      journal.attempt(id, {"h", "z", WallTime(1s)});
+      journal.attempt(id, {"h", "z", {WallTime(1s)}});
       if (!durable()) break;
       told.called.insert(id);
     }
--- a/tests/window_test.cpp
+++ b/tests/window_test.cpp
@@ -168,7 +168,7 @@
     const auto now = std::chrono::system_clock::now();
     for (const StoredMessage& m : found_) {
       const auto risky = std::ranges::find_if(m.attempts, &StoredAttempt::may_have_run);
-      if (risky != m.attempts.end() && now > risky->sent + kWindow - kAtLeast) {
+      if (risky != m.attempts.end() && now > risky->sent.wall + kWindow - kAtLeast) {
         ++counts_.over;
         continue;
       }
@@ -225,5 +225,52 @@
   EXPECT_GT(all.over, 10U);
 }
 
+// The time of day was set while no process ran, or the machine started anew, and its clock is off.
+TEST(Moments, CountByTheClockThatSaysMoreTimeHasPassed) {
+  const Moment now{WallTime(100h), 7, vetchhinge::Time(50h)};
+  const auto seen = [&](Moment at, vetchhinge::Duration set) {
+    at.wall += set;
+    return std::pair(sent_at(at, now) - now.steady, due_at(at, now) - now.steady);
+  };
+  using Pair = std::pair<vetchhinge::Duration, vetchhinge::Duration>;
+  EXPECT_EQ(seen(now + -2s, 0s), Pair(-2s, -2s));
+  EXPECT_EQ(seen(now + -2s, 10min), Pair(-2s, -2s)) << "set back since: steady";
+  EXPECT_EQ(seen(now + -2s, -10min), Pair(-602s, -602s)) << "set ahead";
+  EXPECT_EQ(seen(now + 5s, 10min).second, 5s) << "its time is not longer for that";
+  for (const std::uint64_t boot : {0, 8}) {  // written by an earlier program, or before the machine's start
+    const Moment before{now.wall, boot, vetchhinge::Time(90h)};
+    EXPECT_EQ(seen(before, -2s), Pair(-2s, -2s)) << "the time of day is all there is";
+    EXPECT_EQ(seen(before, 5s).second, 5s);
+    EXPECT_LT(seen(before, 1us).first, -24h) << "nothing was sent in times to come";
+  }
+}
+
+TEST_F(RelayTest, AClockThatWasSetBringsNoRepeatAfterTheWindow) {
+  add_host("h", 2, "plain", kAccept);
+  const Moment now = read_clocks();
+  {
+    Journal journal(folder_ / "state", 1'000'000);
+    const auto found = [&](const std::string& id, Moment sent, vetchhinge::Duration set) {
+      sent.wall += set;
+      journal.accept({id, "receipt", 2, "key-of-" + id, "hello", now + 20s, {}});
+      journal.attempt(id, {"h", "a", sent});
+    };
+    found("open", now + -100ms, 0s);
+    found("open-set-back", now + -100ms, 10min);
+    found("open-earlier-program", {now.wall - 100ms}, 0s);
+    found("over-set-back", now + -7s, 10min);
+    found("over-anew", {now.wall - 7s, now.boot ^ 1, now.steady}, 0s);
+    found("anew-set-back", {now.wall, now.boot ^ 1, now.steady}, 10min);
+    found("open-set-ahead", now + -100ms, -10min);
+    ASSERT_TRUE(journal.flush());
+  }
+  start();
+  for (const char* id : {"open", "open-set-back", "open-earlier-program"}) EXPECT_TRUE(wait_seen(id)) << id;
+  for (const char* id : {"over-set-back", "over-anew", "anew-set-back", "open-set-ahead"}) {
+    EXPECT_TRUE(wait_notice(id, "given_up")) << id;
+    EXPECT_EQ(count_seen(id), 0U) << id;
+  }
+}
+
 }  // namespace
 }  // namespace myrtlegrade::test
