Take back a request that is on its way when its call is given up or its process ends

Seen: a host with a small buffer that does not read; the call for it times out, or the relay is killed, or ends by SIGTERM with the call out; the host then reads, and the whole request comes (60,106 bytes of 60,106), last byte and all. The same where a segment is lost or a zone cut off. What was given up begins to run at any later time, after its repeat's key is forgotten; a repeat that left inside its window came outside it. At fault: close() in HostClient::Call, and the destructors at the end, which leave to the kernel what it holds of the request; it goes on to send that behind the process's back. Ruled out: the check before the last byte (write() in host_client.cpp), which is right for what has not been written yet.

Connections to hosts linger for 0 s: closed with a call out, also by the end of the process, they are reset, and nothing of the request comes any more. One that is dropped after its answer, or idle, ends in order as before. HostClient ends its calls with itself. A keyed repeat that is not on the host's machine 50 ms after the moment by which it had to leave, half of the module's margin, is taken back too and may have run (SIOCOUTQ; where that can't be asked it is waited for as before).

Seen failing without: HostClientTest.WhatHasTimedOut…, WhatLeftInTime… (hung until its time-out of 20 s) and Ended.TakesBack… for SIGKILL, and without the destructor's part for SIGTERM. Cost: one setsockopt for each connection that is opened, one ioctl for a keyed repeat that is out 50 ms after its window.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -1,5 +1,7 @@
 #include "host_client.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -36,6 +38,8 @@
 constexpr auto kRestWithin = 500ms;  // an answer that has begun comes whole within this, or is spoilt
 constexpr auto kSettle = 20ms;       // what belongs to no call has arrived so long after an answer
 constexpr auto kReapEvery = 250ms;
+constexpr auto kOnTheWay =
+    50ms;  // for what leaves at the last moment, until the host's machine has it (ours)
 // Idle connections are closed at this share of the time after which the host closes them: a request that
 // crosses the host's close is a reset, and may then count as run.
 constexpr double kIdleShare = 0.9;
@@ -69,6 +73,12 @@
     return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   }
 
+  // Something of what was written has not come to the host's machine yet, as far as this one knows.
+  bool on_the_way() {
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  }
+
   asio::ip::tcp::socket socket;
   boost::beast::flat_buffer buffer;
   Endpoint address;
@@ -101,6 +111,7 @@
   bool closed = false;              // nobody keeps its time any more: no connection may be opened for it
   // What is spoilt need not end, and would hold its slot until the time-out.
   SteadyTime rest_deadline = SteadyTime::max();
+  SteadyTime arrive_by = SteadyTime::max();  // what had to leave by a moment
   bool reusable = false;  // the answer is read whole and the connection may carry another call
   bool finished = false;
 };
@@ -110,7 +121,10 @@
   spawn(executor_, reap());
 }
 
-HostClient::~HostClient() = default;
+// Calls that are out end with it, as by a kill.
+HostClient::~HostClient() {
+  for (const auto& call : calls_) call->close();
+}
 
 void HostClient::call(HostId host, const Endpoint& address, std::vector<CallItem> items) {
   std::vector<CallItem> part;
@@ -185,11 +199,8 @@
   report_rest(*call, unanswered);
   call->finished = true;
   call->timer.cancel();
-  if (call->reusable) {
-    keep_idle(*call);
-  } else {
-    call->close();
-  }
+  if (call->reusable) keep_idle(*call);
+  call->connection = nullptr;
   calls_.erase(call);
 }
 
@@ -213,6 +224,10 @@
     ++opened_;
     boost::system::error_code ignored;
     call.connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // What is closed with a request on its way, or by the end of this process, takes that back: the kernel
+    // would go on to bring it to a host that reads late or is cut off, after it was given up. A connection
+    // that is only dropped, as idle ones are, still ends in order (boost::asio sees to that).
+    call.connection->socket.set_option(asio::socket_base::linger(true, 0), ignored);
   }
   co_return !call.closed;
 }
@@ -258,6 +273,10 @@
       co_await asio::async_write(call.connection->socket, asio::buffer(request), kAwait);
   call.written = !error;
   if (!call.written) co_return;
+  if (leave_by < vetchhinge::Time::max()) {
+    call.arrive_by = SteadyTime(leave_by.time_since_epoch()) + kOnTheWay;
+    call.timer.cancel();
+  }
   // What ran out of time while it was being written is out all the same.
   for (std::size_t i = 0; i < call.items.size(); ++i) {
     if (call.item_deadline(i) <= std::chrono::steady_clock::now()) {
@@ -368,10 +387,13 @@
       }
     }
     const bool never_up = !call->connected && call->connect_deadline <= now;
-    if (never_up || next <= now || next == SteadyTime::max() || !one_waits) {
+    const bool too_late = call->arrive_by <= now && call->connection->on_the_way();
+    if (call->arrive_by <= now) call->arrive_by = SteadyTime::max();
+    if (never_up || too_late || next <= now || next == SteadyTime::max() || !one_waits) {
       call->close();
       co_return;
     }
+    next = std::min(next, call->arrive_by);
     call->timer.expires_at(call->connected ? next : std::min(next, call->connect_deadline));
     co_await call->timer.async_wait(kAwait);
   }
--- a/tests/host_client_test.cpp
+++ b/tests/host_client_test.cpp
@@ -64,6 +64,15 @@
                                   [&](boost::system::error_code error, std::size_t) { came = !error; });
     EXPECT_TRUE(run_until([&] { return came; }));
   }
+  // How many bytes a host that begins to read only now still gets.
+  std::size_t read_rest(tcp::socket& socket) {
+    std::string text;
+    bool ended = false;
+    boost::asio::async_read(socket, boost::asio::dynamic_buffer(text),
+                            [&](boost::system::error_code, std::size_t) { ended = true; });
+    EXPECT_TRUE(run_until([&] { return ended; }));
+    return text.size();
+  }
   void say(tcp::socket& socket, const std::string& text) {
     boost::asio::write(socket, boost::asio::buffer(text));
   }
@@ -221,6 +230,44 @@
   EXPECT_EQ(results_[1].second.result, Result::connect_failed) << "no byte of it went out";
 }
 
+// The kernel goes on to bring what it holds of a request after its connection was closed: a host that reads
+// late, or is cut off for a while, would begin what was given up, and perhaps sent again elsewhere.
+TEST_F(HostClientTest, WhatHasTimedOutDoesNotArriveAnyMore) {
+  acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  call({item(1, 200ms, 60'000)});
+  tcp::socket host = accept();
+  ASSERT_TRUE(run_until([&] { return client_.calls_out() == 0; }));
+  EXPECT_EQ(results_.at(0).second.result, Result::timed_out) << "its last byte went out";
+  EXPECT_LT(read_rest(host), 60'000U) << "and never came";
+}
+
+// What left in time and is still on its way when it had to be there is taken back: it may have run.
+TEST_F(HostClientTest, WhatLeftInTimeAndDoesNotArriveIsTakenBack) {
+  acceptor_.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  CallItem repeat = item(1, 20s, 60'000);
+  repeat.leave_by = steady_time() + 100ms;
+  call({repeat});
+  tcp::socket host = accept();
+  ASSERT_TRUE(run_until([&] { return client_.calls_out() == 0; }));
+  EXPECT_EQ(results_.at(0).second.result, Result::reset);
+  EXPECT_LT(results_[0].second.elapsed, 10s);
+  EXPECT_LT(read_rest(host), 60'000U);
+}
+
+// One that has arrived is waited for.
+TEST_F(HostClientTest, WhatArrivedInTimeKeepsItsTime) {
+  CallItem repeat = item(1);
+  repeat.leave_by = steady_time() + 20ms;
+  call({repeat});
+  tcp::socket host = accept();
+  read_head(host);
+  run_until([&] { return steady_time() > repeat.leave_by + 100ms; });
+  ASSERT_TRUE(results_.empty());
+  say(host, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(run_until([&] { return client_.calls_out() == 0; }));
+  EXPECT_EQ(results_.at(0).second.result, Result::delivered);
+}
+
 // Its connection comes up after the moment until which it may begin to run.
 TEST_F(HostClientTest, WhatMayNotLeaveSoLateStaysHere) {
   ::listen(acceptor_.native_handle(), 0);
--- a/tests/window_test.cpp
+++ b/tests/window_test.cpp
@@ -225,6 +225,29 @@
   EXPECT_GT(all.over, 10U);
 }
 
+// What an ended process had written, and no host has read, must not come later.
+class Ended : public RelayTest, public testing::WithParamInterface<int> {};
+
+TEST_P(Ended, TakesBackWhatIsOnItsWay) {
+  boost::asio::io_context context;
+  tcp::acceptor slow(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+  slow.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+  list_host("h", 2, "plain", "127.0.0.1:" + std::to_string(slow.local_endpoint().port()));
+  json::object patient = config();  // its time-out comes after the end of a planned restart
+  patient.at("settings").at("classes").at(1).as_object()["aim"] = 10000.0;
+  start(patient);
+  ASSERT_EQ(hand_in("k1", "receipt", 2, std::string(60'000, 'x')), 202U);
+  tcp::socket socket = slow.accept();
+  std::string text(1, '\0');
+  boost::system::error_code ended;
+  boost::asio::read(socket, boost::asio::buffer(text), ended);
+  ASSERT_FALSE(ended);
+  stop(GetParam());
+  EXPECT_LT(boost::asio::read(socket, boost::asio::dynamic_buffer(text), ended), 60'000U);
+}
+
+INSTANTIATE_TEST_SUITE_P(Process, Ended, testing::Values(SIGKILL, SIGTERM));
+
 // The time of day was set while no process ran, or the machine started anew, and its clock is off.
 TEST(Moments, CountByTheClockThatSaysMoreTimeHasPassed) {
   const Moment now{WallTime(100h), 7, vetchhinge::Time(50h)};
