--- a/cmake/packages.sh
+++ b/cmake/packages.sh
@@ -19,5 +19,5 @@
 
 build_packages=(cmake:/usr/bin/cmake g++:/usr/bin/g++ make:/usr/bin/make libcli11-dev:/usr/include/CLI/CLI.hpp
   libboost1.81-dev:/usr/share/doc/libboost1.81-dev libxxhash-dev:/usr/include/xxhash.h)
-lab_packages=(libtomlplusplus-dev:/usr/include/toml++/toml.h)
+lab_packages=(libtomlplusplus-dev:/usr/include/toml++/toml.h libmuparser-dev:/usr/include/muParser.h)
 test_packages=(libgtest-dev:/usr/include/gtest/gtest.h clang-format:/usr/bin/clang-format)
--- a/lab/child.h
+++ b/lab/child.h
@@ -18,6 +18,7 @@
   Child(const Child&) = delete;
   Child& operator=(const Child&) = delete;
 
+  pid_t pid() const { return pid_; }
   void signal(int number) const;
   // Whether it has ended; its status is then kept.
   bool ended();
--- a/lab/tool.h
+++ b/lab/tool.h
@@ -43,5 +43,7 @@
 void add_drive(CLI::App& app, int& status);
 void add_fleet(CLI::App& app, int& status);
 void add_copies(CLI::App& app, int& status);
+void add_capacity(CLI::App& app, int& status);
+void add_backlog(CLI::App& app, int& status);
 
 }  // namespace valedrum::lab
