--- a/catalog/hash_index.h
+++ b/catalog/hash_index.h
@@ -49,10 +49,7 @@
     heads_.clear();
     count_ = 0;
   }
-  bool release_piece() {
-    count_ = 0;
-    return heads_.release_piece();
-  }
+  bool release_piece() { return heads_.release_piece(); }
 
  private:
   static constexpr std::size_t kMostLoad = 2;  // records a bucket: four bytes of heads for two records (ours)
--- a/catalog/piece.h
+++ b/catalog/piece.h
@@ -46,9 +46,8 @@
     if (pieces_.size() * kEach >= size_ + kEach + kEach / 2) drop_piece();
   }
 
-  // Empty at once; the memory of one piece goes with each call. False: there was none.
+  // The memory of one piece of an empty array. False: there is none.
   bool release_piece() {
-    size_ = 0;
     if (pieces_.empty()) return false;
     drop_piece();
     return true;
--- a/catalog/table.cpp
+++ b/catalog/table.cpp
@@ -176,6 +176,15 @@
     }
   }
 
+  // No entries; the memory stays, and the texts.
+  void reset() {
+    records.clear();
+    extras.clear();
+    ids.clear();
+    cells.clear();
+    free_record = free_extra = kNone;
+  }
+
   void tidy() {
     texts.tidy(kTidied, [this](std::string_view text, Texts::Place place) -> Texts::Place* {
       const Slot slot = find(text, hash_of(text));
@@ -290,7 +299,7 @@
 
 bool Table::release(std::size_t most) {
   Body& b = *body_;
-  b.free_record = b.free_extra = kNone;
+  b.reset();
   bool left = true;
   for (std::size_t given = 0; left && (given == 0 || given + kPieceBytes <= most); given += kPieceBytes) {
     left = b.records.release_piece() || b.texts.release_piece() || b.ids.release_piece() ||
@@ -302,14 +311,9 @@
 }
 
 void Table::clear() {
-  Body& b = *body_;
-  b.records.clear();
-  b.extras.clear();
-  b.ids.clear();
-  b.cells.clear();
-  b.texts.clear();
-  b.labels.clear();
-  b.free_record = b.free_extra = kNone;
+  body_->reset();
+  body_->texts.clear();
+  body_->labels.clear();
 }
 
 }  // namespace valedrum::catalog
