--- a/catalog/list_reader.h
+++ b/catalog/list_reader.h
@@ -38,7 +38,7 @@
   ListReader(ListReader&&) noexcept;
   ListReader& operator=(ListReader&&) noexcept;
 
-  // Takes at most `most` bytes off the front of `bytes`; 64 KB take under a millisecond. Whole: the list has
+  // Takes at most `most` bytes off the front of `bytes`; 64 KB take about a millisecond. Whole: the list has
   // ended, and what comes after it (but for blanks) is still in `bytes`; nothing more is taken before next().
   Status feed(std::string_view& bytes, std::size_t most);
 
--- /dev/null
+++ b/tests/catalog_reader_test.cpp
@@ -0,0 +1,332 @@
+// The reader of discovery's list, against parse_list and cut or spoilt anywhere.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <bit>
+#include <boost/json.hpp>
+#include <cstdio>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "catalog/list_reader.h"
+#include "host_list.h"
+
+namespace {
+
+using namespace valedrum::catalog;
+namespace json = boost::json;
+
+using Random = std::mt19937_64;
+
+std::uint64_t below(Random& random, std::uint64_t bound) { return random() % bound; }
+
+std::string text_of(const Address& address) {
+  std::string text = std::to_string(address.port) + (address.v6 ? " v6" : "");
+  for (const auto byte : address.bytes) text.append(" ").append(std::to_string(byte));
+  return text.append(" ").append(std::to_string(address.scope));
+}
+
+// All but started_ms, which parse_list doesn't read.
+using Lines = std::map<std::string, std::string>;
+
+std::string line_of(const Entry& entry) {
+  std::string line(entry.zone);
+  line.append("|").append(entry.kind).append("|").append(std::to_string(entry.cell)).append("|");
+  line.append(std::to_string(std::bit_cast<std::uint64_t>(entry.weight))).append("|");
+  line.append(std::to_string(static_cast<int>(entry.state))).append("|").append(text_of(entry.address));
+  return line;
+}
+
+Lines lines_of(const Table& table) {
+  Lines lines;
+  table.for_each(0, table.slots(),
+                 [&](Slot, const Entry& entry) { lines[std::string(entry.id)] = line_of(entry); });
+  return lines;
+}
+
+// As parse_list has it; of one id named twice the last counts.
+Lines lines_of(const myrtlegrade::ListUpdate& update) {
+  Lines lines;
+  for (const myrtlegrade::ListedHost& listed : update.hosts) {
+    Entry entry;
+    entry.zone = listed.host.zone;
+    entry.kind = listed.host.kind;
+    entry.cell = listed.host.cell;
+    entry.weight = listed.host.scale;
+    entry.state = listed.host.state == vetchhinge::HostState::running    ? State::serving
+                  : listed.host.state == vetchhinge::HostState::draining ? State::draining
+                                                                         : State::deleted;
+    if (entry.state == State::deleted && update.full) {
+      lines.erase(listed.host.host);
+      continue;
+    }
+    const auto address = listed.address.address();
+    entry.address.port = listed.address.port();
+    entry.address.v6 = address.is_v6();
+    if (address.is_v6()) {
+      entry.address.bytes = address.to_v6().to_bytes();
+      entry.address.scope = static_cast<std::uint32_t>(address.to_v6().scope_id());
+    } else {
+      const auto bytes = address.to_v4().to_bytes();
+      std::copy(bytes.begin(), bytes.end(), entry.address.bytes.begin());
+    }
+    lines[listed.host.host] = line_of(entry);
+  }
+  return lines;
+}
+
+using Status = ListReader::Status;
+
+Status feed_all(ListReader& reader, std::string_view text, std::size_t most = 64 << 10) {
+  while (!text.empty() && reader.status() == Status::more) reader.feed(text, most);
+  if (reader.status() != Status::whole) return reader.status();
+  return text.empty() ? Status::whole : Status::bad;  // something after the list, where there is one a line
+}
+
+constexpr const char* kServers =
+    R"("servers":[
+      {"id":"s-5be2a07c","addr":"10.1.0.18:7070","zone":"a","kind":"m2","cell":3,"state":"SERVING","weight":1.0,"started_ms":0},
+      {"started_ms":1764650000123,"note":{"id":["s-9",{"cell":4}]},"weight":0.25,"state":"DRAINING","id":"s-\u00e9\ud83d\ude00é"
+       ,"addr":"fe80::1%7:80","zone":"b\n","kind":"m\"1","cell":18446744073709551615},
+      {"id":"s-gone","state":"DELETED"},
+      {"id":"s-1","addr":"10.1.0.1:1","cell":5,"state":"SERVING","weight":-2.5e-3},
+      {"id":"s-bad","addr":"10.1.0.1","cell":5,"state":"SERVING"}, 7, [{"id":"s-2"}]
+    ])";
+
+TEST(CatalogReader, ReadsAListCutAtAnyByteAndNothingOfOneThatIsCutOff) {
+  const std::string text =
+      std::string("\n{\"version\":41, \"full\":false, \"more\":[[], {\"servers\":[1]}, null],\r\n") +
+      kServers + "}";
+  ListReader whole;
+  ASSERT_EQ(feed_all(whole, text), Status::whole) << whole.error();
+  const Lines lines = lines_of(whole.entries());
+  EXPECT_EQ(lines, lines_of(myrtlegrade::parse_list(json::parse(text))));
+  EXPECT_EQ(lines.size(), 4u);
+  EXPECT_EQ(whole.entries().at(*whole.entries().find("s-\u00e9\U0001F600\u00e9")).started_ms, 1764650000123);
+  ListReader reader;
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    std::string_view first = std::string_view(text).substr(0, cut), rest = std::string_view(text).substr(cut);
+    ASSERT_EQ(feed_all(reader, first), Status::more) << cut;
+    ASSERT_EQ(feed_all(reader, rest), Status::whole) << cut << ": " << reader.error();
+    ASSERT_EQ(lines_of(reader.entries()), lines) << cut;
+    ASSERT_EQ(reader.version(), 41);
+    reader.next();
+    // A byte that has no place anywhere in a list.
+    std::string spoilt = text;
+    spoilt[cut] = '\x01';
+    ASSERT_EQ(feed_all(reader, spoilt, 1 + cut % 13), Status::bad) << cut;
+    ASSERT_NE(reader.error(), "");
+    reader.next();
+  }
+  ASSERT_EQ(feed_all(reader, text, 1), Status::whole);
+  ASSERT_EQ(lines_of(reader.entries()), lines);
+}
+
+TEST(CatalogReader, KnowsAWholeListThatSaysSoOnlyAtItsEnd) {
+  for (const char* const form : {R"({"full":true,%s,"version":7})", R"({%s,"version":7,"full":true})"}) {
+    std::string text(form);
+    text.replace(text.find("%s"), 2, kServers);
+    ListReader reader;
+    ASSERT_EQ(feed_all(reader, text), Status::whole) << reader.error();
+    EXPECT_TRUE(reader.full());
+    EXPECT_EQ(reader.version(), 7);
+    EXPECT_EQ(lines_of(reader.entries()), lines_of(myrtlegrade::parse_list(json::parse(text))));
+    EXPECT_FALSE(reader.entries().find("s-gone"));
+    Table kept = reader.take_entries();
+    reader.next();
+    EXPECT_EQ(kept.size(), 3u);
+    EXPECT_EQ(reader.entries().size(), 0u);
+  }
+}
+
+TEST(CatalogReader, ReadsTheLinesOfAWatchOneAfterAnother) {
+  std::string text;
+  for (int n = 0; n < 50; ++n) {
+    text.append(n % 3, '\n')
+        .append("{\"version\":")
+        .append(std::to_string(n))
+        .append(",\"servers\":[{\"id\":\"s-");
+    text.append(std::to_string(n % 7)).append("\",\"state\":\"DELETED\"}]}\r\n");
+  }
+  for (std::size_t most = 1; most < 200; most += 7) {
+    ListReader reader;
+    std::string_view rest = text;
+    for (int n = 0; n < 50; ++n) {
+      while (reader.feed(rest, most) == Status::more) ASSERT_FALSE(rest.empty());
+      ASSERT_EQ(reader.status(), Status::whole) << reader.error();
+      ASSERT_EQ(reader.version(), n);
+      ASSERT_EQ(reader.entries().size(), 1u);
+      ASSERT_TRUE(reader.entries().find(std::string("s-").append(std::to_string(n % 7))));
+      reader.next();
+    }
+    ASSERT_EQ(feed_all(reader, rest), Status::more);
+  }
+}
+
+TEST(CatalogReader, RefusesWhatContradictsItselfOrPassesItsBounds) {
+  const std::string deep = "{\"x\":" + std::string(40, '[');
+  const std::string overlong = std::string("{\"x\":\"").append(2 << 20, 'x');
+  const std::string key = std::string("{\"").append(2 << 20, 'x');
+  for (const std::string& text :
+       {std::string(R"({"version":1,"servers":[],"version":1})"),
+        std::string(R"({"servers":[],"servers":[]})"),
+        std::string(R"({"full":true,"servers":[],"full":false})"), std::string(R"({"version":1})"),
+        std::string("[]"), std::string("7 "), std::string("\"servers\""), deep, overlong, key}) {
+    ListReader reader;
+    EXPECT_EQ(feed_all(reader, text), Status::bad) << text.substr(0, 60);
+    EXPECT_EQ(reader.error().find('\n'), std::string::npos);
+    EXPECT_GT(reader.error().size(), 20u);
+  }
+  ListReader reader;
+  std::string_view first = "[0", more = ",0";
+  std::string start = "{\"x\":";
+  feed_all(reader, start);
+  feed_all(reader, first);
+  for (std::size_t n = 0; n < Bounds::kEntries + 10 && reader.status() == Status::more; n += 64) {
+    std::string many;
+    for (int i = 0; i < 64; ++i) many.append(more);
+    feed_all(reader, many);
+  }
+  EXPECT_EQ(reader.status(), Status::bad);
+  // What is longer than an id may be is passed over, as other entries that cannot be used.
+  reader.next();
+  std::string text = R"({"servers":[{"id":")" + std::string(kMostText + 1, 'i') + R"(","state":"DELETED"},)";
+  text.append(R"({"id":"s-1","x":")").append(100'000, 'x').append(R"(","state":"DELETED"}]})");
+  EXPECT_EQ(feed_all(reader, text, 100), Status::whole) << reader.error();
+  EXPECT_EQ(reader.entries().size(), 1u);
+}
+
+class AnyList {
+ public:
+  explicit AnyList(std::uint64_t seed) : random_(seed) {}
+
+  std::string operator()() {
+    std::vector<std::string> fields;
+    maybe(fields, "version",
+          {"41", "41", "41", "41", "-3", "7.0", "7.5", "\"41\"", "null", "99999999999999999999"}, 8);
+    maybe(fields, "full", {"true", "true", "false", "false", "null", "1", "\"true\"", "[]"}, 8);
+    maybe(fields, "other", {"[1,{\"servers\":[]}]", "{}", "\"servers\"", "-0.5e3"}, 4);
+    if (below(random_, 40) > 0) {
+      std::string servers = "[";
+      for (std::uint64_t n = below(random_, 9); n > 0; --n) servers.append(entry()).append(n > 1 ? "," : "");
+      fields.push_back("\"servers\":" + blank() + servers + "]");
+    } else {
+      maybe(fields, "servers", {"{}", "null", "7"}, 5);
+    }
+    return spoilt(object(fields));
+  }
+
+ private:
+  using Values = std::vector<std::string>;
+
+  std::string blank() { return std::string(below(random_, 3) == 0 ? "\n  " : ""); }
+
+  void maybe(Values& fields, const std::string& name, const Values& values, std::uint64_t often) {
+    // Once in a while twice: of an entry's fields the last counts. Those of the list must not be.
+    const bool twice = !values.empty() && name.size() <= 6 && name != "full" && below(random_, 25) == 0;
+    for (int n = below(random_, 10) < often ? (twice && name != "other" ? 2 : 1) : 0; n > 0; --n) {
+      // The first two are ones that can be used: most lists and entries are to be taken.
+      const std::size_t among =
+          below(random_, 4) > 0 ? std::min<std::size_t>(values.size(), 2) : values.size();
+      const std::string& value = values[below(random_, among)];
+      fields.push_back(std::string("\"").append(name).append("\"").append(blank()).append(":").append(value));
+    }
+  }
+
+  std::string object(Values& fields) {
+    std::shuffle(fields.begin(), fields.end(), random_);
+    std::string text = "{";
+    for (const std::string& field : fields)
+      text.append(text.size() > 1 ? "," : "").append(blank()).append(field);
+    return text.append(blank()).append("}");
+  }
+
+  std::string entry() {
+    if (below(random_, 30) == 0)
+      return Values{"7", "null", "[]", "\"s-1\"", "[{\"id\":\"s-1\"}]"}[below(random_, 5)];
+    Values fields;
+    maybe(fields, "id",
+          {"\"s-1\"", "\"s-2\"", "\"s-3\"", "\"\\u0073-4\"", "\"s-\\ud83d\\ude00\"", "\"s-5\"", "\"\"", "5"},
+          10);
+    maybe(fields, "addr",
+          {"\"10.1.0.18:7070\"", "\"10.1.0.19:7070\"", "\"::1:80\"", "\"fe80::2%3:9\"", "\"10.1.0:7\"",
+           "\"10.1.0.18\"", "\"1.2.3.4:99999\"", "\"1.2.3.4:080\"", "\"1.2.3.4\\u0000x:5\"", "\"1.2.3.4:+5\"",
+           "\":\"", "\"a:1\"", "{}"},
+          10);
+    maybe(fields, "zone", {"\"a\"", "\"b\"", "\"\"", "7", "null"}, 9);
+    maybe(fields, "kind", {"\"m2\"", "\"k\\n\"", "{\"kind\":\"m2\"}", "[\"m2\"]"}, 9);
+    maybe(fields, "state", {"\"SERVING\"", "\"SERVING\"", "\"DRAINING\"", "\"DELETED\"", "\"serving\"", "1"},
+          10);
+    maybe(fields, "cell",
+          {"3", "4", "5", "0", "3.0", "1e3", "3.5", "-1", "18446744073709551615", "1e30", "\"3\"", "null",
+           "[3]", "{\"cell\":3}"},
+          9);
+    maybe(fields, "weight",
+          {"1.0", "1", "0.25", "-2", "1e-3", "0.1", "18446744073709551615", "\"1\"", "null", "[]"}, 8);
+    maybe(fields, "started_ms", {"0", "1764650000123", "-5", "\"x\"", "1.5"}, 6);
+    maybe(fields, "x", {"{\"id\":\"s-9\",\"state\":[{}]}", "\"\\\\\"", "true"}, 2);
+    return object(fields);
+  }
+
+  std::string spoilt(std::string text) {
+    if (below(random_, 3) > 0) return text;
+    const std::size_t at = below(random_, text.size());
+    constexpr std::string_view kBytes = "{}[]\":,0 e\\u\xff\x01";
+    switch (below(random_, 4)) {
+      case 0:
+        return text.substr(0, at);
+      case 1:
+        return text.erase(at, 1 + below(random_, 4));
+      case 2:
+        return text.insert(at, 1, kBytes[below(random_, kBytes.size())]);
+      default:
+        text[at] = kBytes[below(random_, kBytes.size())];
+        return text;
+    }
+  }
+
+  Random random_;
+};
+
+TEST(CatalogReader, TakesAndRefusesWhatParseListDoes) {
+  AnyList any(34);
+  Random random(35);
+  int taken = 0, refused = 0, entries = 0, twice = 0;
+  ListReader reader;
+  for (int n = 0; n < 20'000; ++n) {
+    const std::string text = any();
+    std::optional<myrtlegrade::ListUpdate> update;
+    try {
+      update = myrtlegrade::parse_list(json::parse(text));
+    } catch (const std::exception&) {
+    }
+    reader.next();
+    const bool whole = feed_all(reader, text, 1 + below(random, 80)) == Status::whole;
+    if (update && !whole && reader.error().find("said twice") != std::string::npos) {
+      ++twice;  // stricter there, as the header says
+      continue;
+    }
+    ASSERT_EQ(whole, update.has_value()) << text << "\n" << reader.error();
+    if (!whole) {
+      ++refused;
+      continue;
+    }
+    ++taken;
+    ASSERT_EQ(reader.version(), update->version) << text;
+    ASSERT_EQ(reader.full(), update->full) << text;
+    const Lines lines = lines_of(*update);
+    ASSERT_EQ(lines_of(reader.entries()), lines) << text;
+    entries += static_cast<int>(lines.size());
+  }
+  std::printf("%d taken with %d entries, %d refused, %d said a field twice\n", taken, entries, refused,
+              twice);
+  EXPECT_GT(taken, 5000);
+  EXPECT_GT(refused, 3000);
+  EXPECT_GT(entries, 10'000);
+  EXPECT_LT(twice, 100);
+}
+
+}  // namespace
