Keep at most 1 MB of a list's memory in the reader for the next one

Need: a reader whose caller leaves a large list of changes with it held that memory for as long as it lived.

Change: next() lets go of a table over 1 MB. The test fails without it. The header names the bound on pairs of zone and kind.

--- a/catalog/list_reader.cpp
+++ b/catalog/list_reader.cpp
@@ -62,7 +62,11 @@
     in_servers_ = false;
     deleted_ = 0;
     why.clear();
-    table.clear();
+    if (table.bytes() > kKept) {
+      table = Table();
+    } else {
+      table.clear();
+    }
   }
 
   bool on_document_begin(error_code&) { return true; }
@@ -142,6 +146,7 @@
     kServers = 2,
     kEntry = 3
   };                                              // of what is inside the object, the array, an entry
+  static constexpr std::size_t kKept = 1 << 20;   // memory that is kept from one list to the next (ours)
   static constexpr std::size_t kLongestKey = 10;  // started_ms
 
   static FieldName field_of(std::string_view key) {
--- a/catalog/list_reader.h
+++ b/catalog/list_reader.h
@@ -4,8 +4,8 @@
 // What is taken is what relay/host_list.cpp's parse_list takes: fields in any order, unknown ones ignored,
 // and entries that cannot be used (no id, an unknown state, no address unless deleted, no cell where serving,
 // a number of the wrong form) passed over. Of one id named twice the last counts. It is stricter in this: a
-// list that says `version`, `full` or `servers` twice is refused, as are the bounds below; entries with a
-// text over kMostText are passed over.
+// list that says `version`, `full` or `servers` twice is refused, and one that passes the bounds below or has
+// more pairs of zone and kind than a table holds; entries with a text over kMostText are passed over.
 #pragma once
 
 #include <cstdint>
@@ -38,8 +38,9 @@
   ListReader(ListReader&&) noexcept;
   ListReader& operator=(ListReader&&) noexcept;
 
-  // Takes at most `most` bytes off the front of `bytes`; 64 KB take about a millisecond. Whole: the list has
-  // ended, and what comes after it (but for blanks) is still in `bytes`; nothing more is taken before next().
+  // Takes at most `most` bytes off the front of `bytes`; 64 KB take one or two milliseconds. Whole: the list
+  // has ended, and what comes after it (but for blanks) is still in `bytes`; nothing more is taken before
+  // next().
   Status feed(std::string_view& bytes, std::size_t most);
 
   Status status() const;
--- a/tests/catalog_reader_test.cpp
+++ b/tests/catalog_reader_test.cpp
@@ -166,6 +166,23 @@
   }
 }
 
+TEST(CatalogReader, KeepsNoMemoryOfALargeListForTheNextOne) {
+  std::string text = "{\"servers\":[";
+  for (int n = 0; n < 50'000; ++n) {
+    text.append("{\"state\":\"DELETED\",\"id\":\"")
+        .append(std::to_string(n))
+        .append(n < 49'999 ? "\"}," : "\"}]}");
+  }
+  ListReader reader;
+  ASSERT_EQ(feed_all(reader, text), Status::whole) << reader.error();
+  EXPECT_EQ(reader.entries().size(), 50'000u);
+  EXPECT_GT(reader.entries().bytes(), 2u << 20);
+  reader.next();
+  EXPECT_LT(reader.entries().bytes(), 1u << 20);
+  EXPECT_EQ(feed_all(reader, "{\"servers\":[{\"state\":\"DELETED\",\"id\":\"7\"}]}"), Status::whole);
+  EXPECT_EQ(reader.entries().size(), 1u);
+}
+
 TEST(CatalogReader, RefusesWhatContradictsItselfOrPassesItsBounds) {
   const std::string deep = "{\"x\":" + std::string(40, '[');
   const std::string overlong = std::string("{\"x\":\"").append(2 << 20, 'x');
