--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "host_list.h"
+#include "moment.h"
 #include "vetchhinge/policy.h"
 
 namespace myrtlegrade {
@@ -31,11 +32,10 @@
   vetchhinge::MessageId message{};
   std::uint32_t attempt = 0;
   std::shared_ptr<const Payload> payload;
-  vetchhinge::Duration timeout{};
+  vetchhinge::Time until{};  // its answer counts no longer; by steady_time(), as all moments here
   vetchhinge::Duration idle_most = vetchhinge::Duration::max();  // of the connection that carries it
   bool prove = false;  // the last byte waits until the connection has stood the others
-  vetchhinge::Duration leave_within =
-      vetchhinge::Duration::max();  // the last byte goes out by then, or never
+  vetchhinge::Time leave_by = vetchhinge::Time::max();  // the last byte goes out by then, or never
 };
 
 struct CallResult {
