Give the decision module a bound of destinations and an action that puts one away

The interface that relay and module agree on: Settings::most_destinations (0, the default: no bound), PutAway{destination}, and how many are kept at present. Nothing is put away yet.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cmath>
 #include <limits>
+#include <stdexcept>
 #include <type_traits>
 
 namespace vetchhinge::drill {
@@ -308,6 +309,8 @@
           return "SCHEDULE name=" + number_text(a.token) + " fromNow=" + span_text(a.after);
         } else if constexpr (std::is_same_v<A, CloseIdle>) {
           return "FREE_LINKS host=" + dialect.hosts.name(static_cast<std::uint32_t>(a.host));
+        } else if constexpr (std::is_same_v<A, PutAway>) {
+          throw std::logic_error("a destination put away though no bound is set");
         } else {
           static_assert(std::is_same_v<A, WatchList>);
           return "WATCH active=1";
--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -59,6 +60,9 @@
   std::uint32_t max_open = 1;  // messages held, sent or not
   std::uint32_t max_attempts = 1;
   std::uint32_t relays = 1;      // that call the same destinations, this one among them
+  // Destinations of which the module keeps hosts and what it learned; 0: of all. It keeps more where none of
+  // them may be put away.
+  std::uint32_t most_destinations = 0;
   bool wait_hints = false;       // clients are told how long to stay away
   bool list_on_request = false;  // the list of hosts comes only when asked for
   bool halving = false;          // late worth halves with each further aim; otherwise it falls evenly
@@ -220,8 +224,13 @@
 struct CloseIdle {  // the idle connections of this relay to a host
   HostId host{};
 };
+// Nothing is kept of this destination any more, nor of its hosts. Before the next event that names it, the
+// caller tells its hosts again, as changes of the list in the same step.
+struct PutAway {
+  DestinationId destination{};
+};
 
-using Action = std::variant<Send, Refuse, Fail, SetTimer, WatchList, CloseIdle>;
+using Action = std::variant<Send, Refuse, Fail, SetTimer, WatchList, CloseIdle, PutAway>;
 
 // One relay's decisions. Not thread-safe; instances share nothing. The constructor throws
 // std::invalid_argument, naming the field, for settings that cannot hold.
@@ -239,6 +248,9 @@
   // For the process that takes this one's place.
   Learned learned(Time now);
 
+  // Destinations that something is kept of: over Settings::most_destinations where none may be put away.
+  std::size_t destinations() const;
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -115,6 +115,7 @@
   }
 
   Learned learned(Time now) { return vetchhinge::learned(fleet_, now); }
+  std::size_t destinations() const { return fleet_.destinations.size(); }
 
  private:
   void start(Time now) {
@@ -666,12 +667,6 @@
     idle_.emplace(now_, a.host);
   }
 
-  // The connection was up and broke: by chance, or for having lain idle.
-  static bool broke(const Outcome& o) {
-    return o.result == Result::reset ||
-           (o.result == Result::connect_failed && o.connection && o.connection->established);
-  }
-
   void learn_idle(const Lane& l, const Call& call, const Outcome& o) {
     IdleAge& kind = idle_ages_[destinations_[l.destination].kind];
     if (o.result == Result::delivered) kind.answered(now_, call.idle, o.elapsed);
@@ -967,4 +962,6 @@
 
 Learned Sender::learned(Time now) { return impl_->learned(now); }
 
+std::size_t Sender::destinations() const { return impl_->destinations(); }
+
 }  // namespace vetchhinge
--- a/src/records.h
+++ b/src/records.h
@@ -115,4 +115,10 @@
   Time rest_until{};
 };
 
+// The connection was up and broke: by chance, or for having lain idle.
+inline bool broke(const Outcome& o) {
+  return o.result == Result::reset ||
+         (o.result == Result::connect_failed && o.connection && o.connection->established);
+}
+
 }  // namespace vetchhinge
