Move the table of messages and calls out of the policy, and forget hosts by what changed

What holds, frees and counts messages, calls, keys and idle connections decides nothing and is now in src/work and src/fleet. Fleet keeps those that a list told or left out since the last tick and looks at them alone; idle connections have one entry a host, taken out by name. The places that are taken again are the same in the same order. tests/fleet_test tells hosts as gone through Fleet::told, which replaces setting the flag by hand.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -8,7 +8,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -25,6 +24,7 @@
 #include "records.h"
 #include "settings.h"
 #include "spans.h"
+#include "work.h"
 
 namespace vetchhinge {
 namespace {
@@ -95,7 +95,10 @@
 
 class Sender::Impl {
  public:
-  explicit Impl(Settings settings) : s_(std::move(settings)), random_(s_.seed) { validate(s_); }
+  explicit Impl(Settings settings)
+      : s_(std::move(settings)), random_(s_.seed), fleet_(s_.connection_idle), work_(fleet_) {
+    validate(s_);
+  }
 
   std::vector<Action> step(Time now, std::span<const Event> events) {
     now_ = now;
@@ -115,7 +118,7 @@
   }
 
   Learned learned(Time now) { return vetchhinge::learned(fleet_, now); }
-  std::size_t destinations() const { return fleet_.destinations.size(); }
+  std::size_t destinations() const { return fleet_.known_destinations(); }
 
  private:
   void start(Time now) {
@@ -140,7 +143,7 @@
     }
     if (list.kind != HostList::Kind::cached && !watched_since_) watched_since_ = now_;
     if (list.kind != HostList::Kind::changes) {
-      for (Host& h : hosts_) h.running = h.listed = false;  // what a whole list does not name is gone
+      fleet_.none_told();  // what a whole list does not name is gone
     }
     for (const HostEntry& e : list.entries) update(e);
   }
@@ -151,8 +154,7 @@
       if (e.state != HostState::running || e.kind >= s_.kinds.size()) return;
       known = add_host(e);
     }
-    hosts_[*known].listed = e.state != HostState::gone;
-    hosts_[*known].running = e.state == HostState::running;
+    fleet_.told(*known, e.state);
     hosts_[*known].by_hand = by_hand_.contains(e.host);
   }
 
@@ -168,21 +170,10 @@
     h.by_hand = b.out;
     if (!b.out) h.failures = 0;
     const std::size_t d = lanes_[h.lane].destination;
-    if (!shut_by_hand(d)) return;
+    if (!fleet_.shut_by_hand(d)) return;
     for (const MessageId id : std::vector(destinations_[d].hold)) give_up(entries_.at(id));
   }
 
-  bool shut_by_hand(std::size_t d) const {
-    return !any_host(d, &Host::usable) && any_host(d, [](const Host& h) { return h.by_hand; });
-  }
-
-  template <typename Is>
-  bool any_host(std::size_t d, Is is) const {
-    return std::ranges::any_of(destinations_[d].lanes, [&](std::size_t l) {
-      return std::ranges::any_of(lanes_[l].hosts, [&](std::size_t h) { return std::invoke(is, hosts_[h]); });
-    });
-  }
-
   std::size_t add_host(const HostEntry& e) {
     const std::size_t d = destination_for(e.destination);
     destinations_[d].kind = e.kind;
@@ -196,16 +187,6 @@
     return fleet_.destination_for(id, RateMeter(kUsualMemory, now_));
   }
 
-  // A host is forgotten once it is gone and nothing is out to it: else each one that was ever replaced would
-  // stay, and count where a destination's budget is shared out among its hosts.
-  void forget_gone() {
-    for (const std::size_t h : fleet_.forget_gone(s_.kinds)) {
-      std::erase_if(idle_, [h](const auto& i) { return i.second == h; });
-      const std::size_t lane = hosts_[h].lane;
-      if (lanes_[lane].hosts.empty() && std::exchange(lanes_[lane].active, false)) std::erase(active_, lane);
-    }
-  }
-
   void ask_for_list() {
     if (!s_.list_on_request || watched_since_ || now_ < ask_at_) return;
     actions_.push_back(WatchList{});
@@ -219,10 +200,8 @@
     e.message = m;
     e.destination = destination_for(m.destination);
     e.worth = s_.classes[m.cls].worth * share_worth(m);
-    Entry& entry = entries_.emplace(m.id, std::move(e)).first->second;
-    expiries_.emplace(m.valid_until, m.id);
-    ++open_;
-    if (in_turn(entry)) keys_[*m.key].waiting.push_back(m.id);
+    e.in_turn = s_.classes[m.cls].in_turn && m.key.has_value();
+    Entry& entry = work_.add(std::move(e));
     destinations_[entry.destination].arrivals.add(now_, 1);
     for (const PastAttempt& p : m.past) take_up_attempt(entry, p);
     if (entry.out > 0) return;
@@ -240,22 +219,12 @@
     const HostEntry entry{p.host, e.message.destination, p.zone, destinations_[e.destination].kind};
     const std::size_t h = known ? *known : add_host(entry);
     const std::uint64_t id = kEarlierCall | p.call;
-    const auto [call, added] = calls_.try_emplace(id, Call{h, p.sent});
-    if (added) count_call(h, id);
-    ++call->second.messages;
+    ++work_.begin(id, Call{h, p.sent}).messages;
     ++e.out;
     e.attempts.push_back({h, id, p.zone, p.sent});
     activate(hosts_[h].lane);
   }
 
-  void count_call(std::size_t at, std::uint64_t id) {
-    Lane& l = lanes_[hosts_[at].lane];
-    hosts_[at].calls.push_back(id);
-    ++hosts_[at].in_flight;
-    l.peak = std::max(l.peak, ++l.in_flight);
-    ++in_flight_;
-  }
-
   void on(const Learned& learned) {
     for (const std::size_t lane : take_up(fleet_, learned, now_)) activate(lane);
   }
@@ -270,20 +239,6 @@
     return share > s_.tenants[*m.tenant].fraction * kTenantSlack ? s_.over_share_worth : 1;
   }
 
-  void hold(Entry& e) {
-    e.held = true;
-    destinations_[e.destination].hold.push_back(e.message.id);
-    waiting_.insert(e.destination);
-  }
-
-  void unhold(Entry& e) {
-    if (!e.held) return;
-    e.held = false;
-    std::vector<MessageId>& held = destinations_[e.destination].hold;
-    held.erase(std::ranges::find(held, e.message.id));
-    if (held.empty()) waiting_.erase(e.destination);
-  }
-
   // Refuses, lowest rank first, until the holds fit their bounds again. Openly and early: the client may
   // still go elsewhere, and what stays can be served in time.
   void make_room(const Entry& arrived) {
@@ -292,7 +247,7 @@
     const auto bound = std::max(kHoldLeast, static_cast<std::size_t>(static_cast<double>(room) * kHoldShare));
     if (d.hold.size() > bound || waits_too_long(arrived, arrived.destination)) {
       shed(d.hold);
-    } else if (open_ > room) {
+    } else if (work_.open > room) {
       const Destination* longest = &d;
       for (const std::size_t other : waiting_) {
         if (destinations_[other].hold.size() > longest->hold.size()) longest = &destinations_[other];
@@ -324,7 +279,7 @@
 
   // In an outage nothing tells when it ends: work waits, and the hold's bound alone refuses.
   bool recovering(std::size_t d) const {
-    return any_host(d, [](const Host& h) { return h.cold && h.usable(); });
+    return fleet_.any_host(d, [](const Host& h) { return h.cold && h.usable(); });
   }
 
   // Seconds in which the hold could drain at the present cap and latency.
@@ -366,10 +321,10 @@
     const double backlog = std::min(backlog_time(e.destination), seconds(s_.max_wait_hint));
     Duration wait = span(backlog);
     // Nothing tells when a host comes back by hand: early enough to be tried again before the time is up.
-    if (shut_by_hand(e.destination)) wait = scaled(e.message.valid_until - now_, kOutHint);
+    if (fleet_.shut_by_hand(e.destination)) wait = scaled(e.message.valid_until - now_, kOutHint);
     wait = scaled(std::max(wait, kHintLeast), jitter(kHintSpread));
     actions_.push_back(Refuse{e.message.id, s_.wait_hints ? std::min(wait, s_.max_wait_hint) : 0us});
-    close(e);
+    work_.close(e);
   }
 
   // Worth of sending now. Work still in time goes before late work; older work in time goes first among
@@ -391,16 +346,14 @@
   void control() {
     if (now_ < control_at_) return;
     control_at_ = now_ + kControlTick;
-    forget_gone();
+    fleet_.forget_gone(s_.kinds);
     for (IdleAge& kind : idle_ages_) kind.judge(now_);
     std::erase_if(active_, [this](std::size_t l) {
       judge(lanes_[l], now_, s_.slots);
       return !lanes_[l].active;
     });
     for (const std::size_t d : std::set(waiting_)) thin_out(d);
-    std::erase_if(keys_, [this](const auto& k) {
-      return k.second.waiting.empty() && k.second.out == 0 && now_ >= k.second.rest_until;
-    });
+    work_.forget_keys(now_);
   }
 
   void activate(std::size_t lane) {
@@ -449,7 +402,7 @@
       const Entry& e = entries_.at(id);
       if (!may_send(e)) continue;
       // The head of a key's queue holds up all behind it.
-      const std::size_t behind = in_turn(e) ? keys_.at(*e.message.key).waiting.size() : 1;
+      const std::size_t behind = e.in_turn ? keys_.at(*e.message.key).waiting.size() : 1;
       result.push_back({rank(e, latency) * static_cast<double>(behind), id});
       const ClassSettings& c = s_.classes[e.message.cls];
       const Time taken = e.message.valid_until - c.deadline;
@@ -466,15 +419,7 @@
     if (e.out > 0 || now_ < e.not_before) return false;
     // What timed out alone is still there for as long as the call that carried it stays open for the others.
     if (!e.attempts.empty() && calls_.contains(e.attempts.back().call)) return false;
-    if (in_turn(e)) {
-      const KeyQueue& k = keys_.at(*e.message.key);
-      if (k.waiting.front() != e.message.id || k.out > 0 || now_ < k.rest_until) return false;
-    }
-    return may_try(e);
-  }
-
-  bool in_turn(const Entry& e) const {
-    return s_.classes[e.message.cls].in_turn && e.message.key.has_value();
+    return (!e.in_turn || work_.is_next(e, now_)) && may_try(e);
   }
 
   Duration expected_latency(std::size_t d) const {
@@ -520,7 +465,7 @@
   }
 
   bool lane_has_room(const Lane& l) const {
-    if (l.in_flight >= l.cap || in_flight_ >= static_cast<int>(s_.slots)) return false;
+    if (l.in_flight >= l.cap || work_.in_flight >= static_cast<int>(s_.slots)) return false;
     if (l.pace_budget < 1) return false;
     if (!l.poor()) return true;
     // All slow or failing destinations together leave half of the slots to the others.
@@ -574,7 +519,7 @@
     return idle(a) > idle(b);
   }
 
-  int idle(const Host& h) const { return now_ < h.last_end + s_.connection_idle ? h.idle_connections : 0; }
+  int idle(const Host& h) const { return fleet_.idle_connections(h, now_); }
 
   void send(Entry& e, std::size_t at) {
     Host& h = hosts_[at];
@@ -585,20 +530,19 @@
     } else {
       h.step = step_;
       h.step_call = ++last_call_;
-      calls_.emplace(last_call_, Call{at, now_, idle(h) > 0 ? now_ - h.last_end : 0us});
+      work_.begin(last_call_, Call{at, now_, idle(h) > 0 ? now_ - h.last_end : 0us});
       h.idle_connections = std::max(0, idle(h) - 1);
-      count_call(at, last_call_);
       l.pace_budget -= 1;
       l.recent_calls.add(now_, 1);
       h.budget -= h.cold ? 1 : 0;
     }
     ++calls_.at(h.step_call).messages;
     activate(h.lane);
-    unhold(e);
+    work_.unhold(e);
     ++e.out;
     const Duration leave_within = window_end(e).value_or(Time::max()) - now_;
     e.attempts.push_back({at, h.step_call, h.zone, now_});
-    if (in_turn(e)) ++keys_.at(*e.message.key).out;
+    if (e.in_turn) ++keys_.at(*e.message.key).out;
     const IdleAge& age = idle_ages_[d.kind];
     const bool once = s_.classes[e.message.cls].effect == Effect::at_most_once;
     actions_.push_back(
@@ -611,7 +555,7 @@
     const double p95 = watched_latency(l);
     double t = std::max(kTimeoutAim * seconds(c.aim), kTimeoutP95 * p95);
     if (c.effect == Effect::at_most_once) t *= kTimeoutOnce;
-    if (in_flight_ >= static_cast<int>(s_.slots)) t *= kTimeoutShort;  // other work waits for the slot
+    if (work_.in_flight >= static_cast<int>(s_.slots)) t *= kTimeoutShort;  // other work waits for the slot
     if (c.effect == Effect::deduplicated) t = std::min(t, kWindowShare * seconds(c.window));
     const Duration left = e.message.valid_until - now_;
     return std::max(Duration(1ms), std::min(left, span(t)));
@@ -619,29 +563,23 @@
 
   // -------------------------------------------------------------------------- outcomes
   void on(const Outcome& o) {
-    const auto found = entries_.find(o.id);
-    if (found == entries_.end()) return;
-    Entry& e = found->second;
+    Entry* const found = work_.find(o.id);
+    if (!found) return;
+    Entry& e = *found;
     if (o.attempt >= e.attempts.size() || e.attempts[o.attempt].fate != Fate::pending) return;
     Attempt& a = e.attempts[o.attempt];
     const bool ran =
         o.result != Result::full && o.result != Result::connect_failed && o.result != Result::not_sent;
     a.fate = ran ? Fate::may_have_run : Fate::never_ran;
     --e.out;
-    settle_key(e, o.result);
+    const bool open =
+        o.result == Result::timed_out || o.result == Result::reset || o.result == Result::cancelled;
+    if (e.in_turn) work_.leave_key(e, open ? now_ + s_.order_settle : Time{});
     heed(lanes_[hosts_[a.host].lane], o, a.sent);
     settle_call(a, o);
-    if (o.terminal && !e.done) close(e);
+    if (o.terminal && !e.done) work_.close(e);
     if (!e.done) retry_or_end(e, o.result);
-    forget_if_over(o.id);
-  }
-
-  void settle_key(const Entry& e, Result result) {
-    if (!in_turn(e)) return;
-    KeyQueue& k = keys_.at(*e.message.key);
-    --k.out;
-    const bool open = result == Result::timed_out || result == Result::reset || result == Result::cancelled;
-    if (open) k.rest_until = std::max(k.rest_until, now_ + s_.order_settle);
+    work_.forget_if_over(o.id, now_);
   }
 
   // Every outcome's wait binds, also those of one call that tell different ones.
@@ -656,15 +594,7 @@
     Lane& l = lanes_[h.lane];
     if (o.connection) call.idle = o.connection->idle;  // what was only expected when it was sent
     if (!std::exchange(call.judged, true)) count(h, l, call, o);
-    if (--call.messages > 0) return;
-    std::erase(h.calls, a.call);
-    calls_.erase(a.call);
-    --h.in_flight;
-    --l.in_flight;
-    --in_flight_;
-    h.idle_connections = idle(h) + (o.result == Result::delivered || o.result == Result::error ? 1 : 0);
-    h.last_end = now_;
-    idle_.emplace(now_, a.host);
+    work_.end(a, o.result == Result::delivered || o.result == Result::error, now_);
   }
 
   void learn_idle(const Lane& l, const Call& call, const Outcome& o) {
@@ -674,10 +604,10 @@
   }
 
   void close_idle() {
-    while (!idle_.empty() && idle_.begin()->first + s_.connection_idle <= now_) idle_.erase(idle_.begin());
+    fleet_.drop_lapsed(now_);
     std::erase_if(idle_, [this](const auto& i) {
       Host& h = hosts_[i.second];
-      if (h.last_end > i.first || idle(h) == 0) return true;
+      if (idle(h) == 0) return true;
       if (now_ < i.first + keep(lanes_[h.lane])) return false;
       h.idle_connections = 0;
       actions_.push_back(CloseIdle{h.id});
@@ -829,9 +759,9 @@
 
   // Into the hold where an attempt may follow, else the final answer.
   void hold_or_end(Entry& e) {
-    if (!may_try(e) || shut_by_hand(e.destination)) return give_up(e);
+    if (!may_try(e) || fleet_.shut_by_hand(e.destination)) return give_up(e);
     if (const auto end = window_end(e)) expiries_.emplace(*end + kWindowMargin, e.message.id);
-    hold(e);
+    work_.hold(e);
   }
 
   void give_up(Entry& e) { may_refuse(e) ? refuse(e) : fail(e); }
@@ -855,32 +785,17 @@
   }
 
   void on(const Withdrawn& w) {
-    const auto found = entries_.find(w.id);
-    if (found == entries_.end() || found->second.done) return;
-    close(found->second);
-    forget_if_over(w.id);
+    Entry* const e = work_.find(w.id);
+    if (!e || e->done) return;
+    work_.close(*e);
+    work_.forget_if_over(w.id, now_);
   }
 
   void on(const Timer&) {}  // the one timer only makes the caller call
 
   void fail(Entry& e) {
     actions_.push_back(Fail{e.message.id});
-    close(e);
-  }
-
-  // The message has its final answer. Attempts still out keep the entry, and its key, until they are over.
-  void close(Entry& e) {
-    unhold(e);
-    e.done = true;
-    --open_;
-    if (in_turn(e)) std::erase(keys_.at(*e.message.key).waiting, e.message.id);
-    closed_.push_back(e.message.id);
-  }
-
-  void forget_if_over(MessageId id) {
-    const auto found = entries_.find(id);
-    if (found == entries_.end() || !found->second.done || found->second.out > 0) return;
-    entries_.erase(found);
+    work_.close(e);
   }
 
   // -------------------------------------------------------------------------- expiry and timers
@@ -888,15 +803,13 @@
   // whose window has passed can neither be sent nor refused again: it ends at once and frees its room.
   void expire() {
     while (!expiries_.empty() && expiries_.begin()->first <= now_ + kExpiryMargin) {
-      const MessageId id = expiries_.begin()->second;
+      Entry* const e = work_.find(expiries_.begin()->second);
       expiries_.erase(expiries_.begin());
-      const auto found = entries_.find(id);
-      if (found == entries_.end() || found->second.done) continue;
-      Entry& e = found->second;
-      const bool over = e.message.valid_until <= now_ + kExpiryMargin;
-      if (over || (e.held && !repeatable(e))) fail(e);
+      if (!e || e->done) continue;
+      const bool over = e->message.valid_until <= now_ + kExpiryMargin;
+      if (over || (e->held && !repeatable(*e))) fail(*e);
     }
-    for (const MessageId id : std::exchange(closed_, {})) forget_if_over(id);
+    work_.forget_closed(now_);
   }
 
   // Asks for the next moment that matters: with work held a short beat, else the next judgement, end of a
@@ -905,12 +818,8 @@
     Time next = Time::max();
     if (!waiting_.empty()) next = now_ + kHeartbeat;
     if (!active_.empty()) next = std::min(next, control_at_);
-    while (!expiries_.empty()) {  // what has ended needs no look any more
-      const auto found = entries_.find(expiries_.begin()->second);
-      if (found != entries_.end() && !found->second.done) break;
-      expiries_.erase(expiries_.begin());
-    }
-    if (!expiries_.empty()) next = std::min(next, expiries_.begin()->first - kExpiryMargin);
+    const Time expiry = work_.next_expiry();  // what has ended needs no look any more
+    if (expiry < Time::max()) next = std::min(next, expiry - kExpiryMargin);
     if (s_.list_on_request && !watched_since_) next = std::min(next, ask_at_);
     for (const IdleAge& kind : idle_ages_) {
       const Duration keep = kind.keep();
@@ -930,27 +839,25 @@
   std::vector<Host>& hosts_ = fleet_.hosts;
   std::vector<Lane>& lanes_ = fleet_.lanes;
   std::vector<Destination>& destinations_ = fleet_.destinations;
-  std::unordered_map<MessageId, Entry> entries_;
-  std::map<std::uint64_t, KeyQueue> keys_;
-  std::unordered_map<std::uint64_t, Call> calls_;
-  std::multimap<Time, MessageId> expiries_;
-  std::vector<MessageId> closed_;
+  std::vector<std::size_t>& active_ = fleet_.active;
+  Work work_;
+  std::unordered_map<MessageId, Entry>& entries_ = work_.entries;
+  std::map<std::uint64_t, KeyQueue>& keys_ = work_.keys;
+  std::unordered_map<std::uint64_t, Call>& calls_ = work_.calls;
+  std::multimap<Time, MessageId>& expiries_ = work_.expiries;
+  std::set<std::size_t>& waiting_ = work_.waiting;  // destinations with held work
+  std::set<std::pair<Time, std::size_t>>& idle_ = fleet_.idle;
   std::vector<RateMeter> tenant_rates_;
   std::optional<RateMeter> all_rate_;
   std::uint64_t last_call_ = 0;
-  int in_flight_ = 0;
-  std::size_t open_ = 0;
   std::optional<Time> watched_since_;
   int asks_failed_ = 0;
   Time ask_at_ = Time::min();
   Time control_at_{};
   Time timer_at_ = Time::min();
   std::uint64_t step_ = 0;
-  std::set<HostId> by_hand_;                     // out, listed or not
-  std::set<std::size_t> waiting_;                // destinations with held work
-  std::vector<IdleAge> idle_ages_;               // for each kind
-  std::set<std::pair<Time, std::size_t>> idle_;  // when a host's last call ended
-  std::vector<std::size_t> active_;              // lanes with something to judge
+  std::set<HostId> by_hand_;        // out, listed or not
+  std::vector<IdleAge> idle_ages_;  // for each kind
 };
 
 Sender::Sender(Settings settings) : impl_(std::make_unique<Impl>(std::move(settings))) {}
--- a/src/records.h
+++ b/src/records.h
@@ -34,6 +34,7 @@
   double worth = 1;
   bool done = false;
   bool held = false;
+  bool in_turn = false;  // one at a time for each key
 
   // Here, by this process: attempts before a restart may have been withheld, which was no call.
   bool called() const { return attempts.size() > message.past.size(); }
@@ -102,11 +103,14 @@
 };
 
 struct Destination {
-  explicit Destination(RateMeter meter) : arrivals(meter) {}
+  Destination(DestinationId d, RateMeter meter) : id(d), arrivals(meter) {}
+  DestinationId id;
   std::uint32_t kind = 0;
   std::vector<std::size_t> lanes;
-  std::vector<MessageId> hold;  // in the order taken
-  RateMeter arrivals;           // messages
+  std::vector<MessageId> hold;   // in the order taken
+  RateMeter arrivals;            // messages
+  std::size_t entries = 0;       // of messages, those that are over but for a call still out among them
+  Time worked_at = Time::min();  // when the last of them was forgotten; never: it had none yet
 };
 
 struct KeyQueue {  // messages of one key, in the order taken, for classes that ask for it
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -16,20 +16,20 @@
     const std::size_t d = fleet_.destination_for(DestinationId(7), RateMeter(1s, Time()));
     const std::size_t h =
         fleet_.add({.host = HostId(id), .destination = DestinationId(7)}, d, kinds_[0].routes_apart, fresh_);
-    fleet_.hosts[h].listed = true;
+    fleet_.told(h, HostState::running);
     return h;
   }
 
   std::vector<KindSettings> kinds_{{GetParam(), 1}};
   Lane fresh_{1, RecentSamples(4, 1s), RateMeter(1s, Time()), RateMeter(1s, Time())};
-  Fleet fleet_;
+  Fleet fleet_{5s};
 };
 
 TEST_P(FleetTest, PlacesOfThoseThatHaveGoneAreTakenAgain) {
   add(0);
   for (std::uint32_t id = 1; id < 1000; ++id) {
     const std::size_t newer = add(id);
-    fleet_.hosts[*fleet_.find(HostId(id - 1))].listed = false;
+    fleet_.told(*fleet_.find(HostId(id - 1)), HostState::gone);
     ASSERT_EQ(fleet_.forget_gone(kinds_).size(), 1U);
     EXPECT_EQ(fleet_.find(HostId(id - 1)), std::nullopt);
     EXPECT_EQ(fleet_.find(HostId(id)), newer);
@@ -44,7 +44,7 @@
 
 TEST_P(FleetTest, AHostWithACallOutIsKept) {
   const std::size_t h = add(1);
-  fleet_.hosts[h].listed = false;
+  fleet_.told(h, HostState::gone);
   fleet_.hosts[h].in_flight = 1;
   EXPECT_TRUE(fleet_.forget_gone(kinds_).empty());
   EXPECT_NE(add(2), h) << "its outcome still names that place";
