Put destinations at rest away while more are known than the bound allows

With Settings::most_destinations set, src/working_set.cpp (new, named in policy) says at each control tick which may go, longest at rest first: a new record must decide the same. Nothing held or out, no entry, no told wait, pause or pace left, not cold or poor, no failures or refusals counted, no idle connections, all hosts running and none out by hand, at rest for 60 s, of each rate under a twentieth of a call left. A cap, p95, part of a limit, rate before an outage, and who answered last among several hosts are kept for ten minutes at rest. Where none may go the bound is exceeded; Sender::destinations() tells. A tick looks at 500 and two for each destination added since, whatever the number known. Places are taken again, also those of destinations. Once some were put away, a destination that is told counts as known, and at rest, since the start.

--- a/src/learned.cpp
+++ b/src/learned.cpp
@@ -41,6 +41,7 @@
     Lane& l = fleet.lanes[fleet.hosts[*found].lane];
     static_cast<LaneMemory&>(l) = lane;
     l.pace_at = l.judged_at = now;
+    fleet.destinations[l.destination].worked_at = now;
     l.usual_calls.start_at(now, lane.usual_rate);
     fleet.destinations[l.destination].arrivals.start_at(now, lane.arrivals);
     for (const auto& [at, value] : lane.latencies) l.latencies.add(at, value);
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -25,6 +25,7 @@
 #include "settings.h"
 #include "spans.h"
 #include "work.h"
+#include "working_set.h"
 
 namespace vetchhinge {
 namespace {
@@ -122,6 +123,7 @@
 
  private:
   void start(Time now) {
+    started_ = now;
     control_at_ = now + kControlTick;
     for (std::size_t i = 0; i < s_.tenants.size(); ++i) tenant_rates_.emplace_back(kTenantMemory, now);
     all_rate_.emplace(kTenantMemory, now);
@@ -177,14 +179,30 @@
   std::size_t add_host(const HostEntry& e) {
     const std::size_t d = destination_for(e.destination);
     destinations_[d].kind = e.kind;
-    Lane fresh(start_cap(s_.slots), watched_latencies(), RateMeter(kRateLeast, now_),
-               RateMeter(kUsualMemory, now_));
-    fresh.judged_at = now_;
+    const Time since = known_since();
+    Lane fresh(start_cap(s_.slots), watched_latencies(), RateMeter(kRateLeast, since),
+               RateMeter(kUsualMemory, since));
+    fresh.judged_at = since;
     return fleet_.add(e, d, s_.kinds[e.kind].routes_apart, fresh);
   }
 
   std::size_t destination_for(DestinationId id) {
-    return fleet_.destination_for(id, RateMeter(kUsualMemory, now_));
+    const std::size_t known = fleet_.known_destinations();
+    const std::size_t d = fleet_.destination_for(id, RateMeter(kUsualMemory, known_since()));
+    if (s_.most_destinations > 0 && fleet_.known_destinations() > known) working_set_.added(d);
+    return d;
+  }
+
+  // Once some have been put away, what is new has most likely been known, and was at rest, all along.
+  Time known_since() const { return any_put_away_ ? started_ : now_; }
+
+  void put_away() {
+    if (fleet_.known_destinations() <= s_.most_destinations || s_.most_destinations == 0) return;
+    for (const std::size_t d : working_set_.surplus(fleet_, s_, now_)) {
+      actions_.push_back(PutAway{destinations_[d].id});
+      fleet_.put_away(d);
+      any_put_away_ = true;
+    }
   }
 
   void ask_for_list() {
@@ -347,6 +365,7 @@
     if (now_ < control_at_) return;
     control_at_ = now_ + kControlTick;
     fleet_.forget_gone(s_.kinds);
+    put_away();
     for (IdleAge& kind : idle_ages_) kind.judge(now_);
     std::erase_if(active_, [this](std::size_t l) {
       judge(lanes_[l], now_, s_.slots);
@@ -853,7 +872,9 @@
   std::optional<Time> watched_since_;
   int asks_failed_ = 0;
   Time ask_at_ = Time::min();
-  Time control_at_{};
+  Time started_{}, control_at_{};
+  bool any_put_away_ = false;
+  WorkingSet working_set_;
   Time timer_at_ = Time::min();
   std::uint64_t step_ = 0;
   std::set<HostId> by_hand_;        // out, listed or not
--- a/src/recent.h
+++ b/src/recent.h
@@ -88,6 +88,9 @@
     sum_ = per_second * seconds(memory_);
   }
 
+  // Of the events added, what is not forgotten.
+  double left(Time now) const { return sum_ * std::exp(-seconds(now - last_) / seconds(memory_)); }
+
   // `least` guards the first moments, when little time has been watched.
   double per_second(Time now, Duration least) {
     decay(now);
