--- a/lab/checker.cpp
+++ b/lab/checker.cpp
@@ -4,6 +4,8 @@
 #include <array>
 #include <cstdio>
 
+#include "partner.h"
+
 namespace valedrum::lab {
 namespace {
 
@@ -16,7 +18,7 @@
 constexpr Duration kLostAfter = 300ms;      // after a message's time is up
 constexpr Duration kRestartSlack = 1500ms;  // nothing is overdue so long after a start
 constexpr Duration kAnswerWithin = 100ms;   // what is given up on
-constexpr double kWitnessShare = 2.0 / 3;   // of what pushed a cold host over
+constexpr double kWitnessShare = 2.0 / 3;   // over so much of what pushed a cold host over
 constexpr std::size_t kEndedKept = 2000;    // messages that are over, for what still comes of them
 constexpr std::size_t kBreachesKept = 5;    // of each rule, with their histories
 
@@ -155,6 +157,7 @@
       return;
     }
     case What::asked:
+    case What::fell_over:  // the checker counts for itself
       return;
     case What::stalled:
       if (o.kept) {
@@ -163,20 +166,6 @@
         stalled_.insert(o.relay);
       }
       return;
-    case What::fell_over: {
-      const Host& h = hosts_[o.host];
-      const auto by_witnesses =
-          std::ranges::count_if(h.came, [&](const auto& c) { return h.witnesses.contains(c.second); });
-      if (h.came.empty() ||
-          static_cast<double>(by_witnesses) < kWitnessShare * static_cast<double>(h.came.size()))
-        return;
-      std::string note;
-      for (const auto& [at, relay] : h.came) {
-        note += "came " + std::to_string(seconds(at)) + " relay " + std::to_string(relay) +
-                (h.witnesses.contains(relay) ? " (a witness)\n" : "\n");
-      }
-      return break_rule(Rule::cold_pushed_over, o.at, 0, "host " + std::to_string(o.host) + "\n" + note);
-    }
   }
 }
 
@@ -188,7 +177,7 @@
   const auto risky = [](const Attempt& a) { return a.may_have_run; };
   if (std::ranges::any_of(m->attempts, out)) break_rule(Rule::second_copy, o.at, o.message);
   if (once(*m) && std::ranges::any_of(m->attempts, risky)) break_rule(Rule::effect_twice, o.at, o.message);
-  m->attempts.push_back({o.host, o.relay});
+  m->attempts.push_back({o.host, o.relay, o.at});
   if (m->attempts.size() > day_->scenario.fleet.attempts) break_rule(Rule::attempts, o.at, o.message);
   const auto listed = barred_.find({o.relay, o.host});
   if (listed == barred_.end() || day_->endpoints[o.host].partner != m->destination) {
@@ -204,7 +193,11 @@
 }
 
 void Checker::outcome(const Observation& o) {
-  if (Host& h = hosts_[o.host]; h.down && o.result != Result::delivered && o.result != Result::not_sent) {
+  Message* m = find(o.message);
+  const bool known = m && o.attempt < m->attempts.size();
+  const bool failed = o.result != Result::delivered && o.result != Result::not_sent;
+  // A call that was sent in the outage and fails after it tells of it as well.
+  if (Host& h = hosts_[o.host]; failed && (h.down || (known && m->attempts[o.attempt].sent < h.back))) {
     h.witnesses.insert(o.relay);
   }
   if (o.span > 0us) {
@@ -212,8 +205,7 @@
     if (until <= o.at) from = o.at + slack_.wait;
     until = std::max(until, o.at + o.span);
   }
-  Message* m = find(o.message);
-  if (!m || o.attempt >= m->attempts.size()) return;
+  if (!known) return;
   Attempt& a = m->attempts[o.attempt];
   a.out = false;
   a.may_have_run = !never_ran(o.result);
@@ -248,8 +240,21 @@
     return;
   }
   h.came.emplace_back(o.at, o.relay);
-  const Duration kept = span(day_->scenario.fleet.overload_for);
-  while (h.came.front().first + kept < o.at) h.came.pop_front();
+  const FleetSpec& fleet = day_->scenario.fleet;
+  while (h.came.front().first + span(fleet.overload_for) < o.at) h.came.pop_front();
+  const PartnerSpec& partner = day_->partners[day_->endpoints[o.host].partner];
+  const double capacity = partner.capacity / static_cast<double>(partner.endpoints.size());
+  const auto came = static_cast<double>(h.came.size());
+  if (came <= cold_bound(fleet, capacity, o.at - h.back)) return;
+  h.cold = false;  // it falls
+  const auto told = [&](const auto& c) { return h.witnesses.contains(c.second); };
+  if (static_cast<double>(std::ranges::count_if(h.came, told)) <= kWitnessShare * came) return;
+  std::string note;
+  for (const auto& [at, relay] : h.came) {
+    note += "came " + std::to_string(seconds(at)) + " relay " + std::to_string(relay) +
+            (h.witnesses.contains(relay) ? " (a witness)\n" : "\n");
+  }
+  break_rule(Rule::cold_pushed_over, o.at, 0, "host " + std::to_string(o.host) + "\n" + note);
 }
 
 // Its calls may have run; its waits are forgotten with it. What its lost folder held is handed in anew.
--- a/lab/checker.h
+++ b/lab/checker.h
@@ -60,7 +60,7 @@
   attempts,          // more than allowed
   drain_grace,       // sent to a host later than the grace after the relay was told that it drains or is gone
   told_wait,         // sent to a partner before the wait was over that it had told
-  cold_pushed_over,  // by relays that had seen it fail
+  cold_pushed_over,  // over two thirds of a fall came from relays that had seen the host fail
   lost,              // taken, and without an end after its time
   held_back,         // given up on, and not answered at once
   foreign_endpoint,  // not of the message's partner, or not of this relay's list
@@ -101,6 +101,7 @@
  private:
   struct Attempt {
     std::uint32_t host = 0, relay = 0;
+    Time sent{};
     bool out = true;
     bool may_have_run = false;
   };
--- a/lab/partner.cpp
+++ b/lab/partner.cpp
@@ -6,11 +6,19 @@
 namespace valedrum::lab {
 namespace {
 
-// Slack for chance: two standard deviations of a steady stream that is just allowed, and two calls.
-double with_chance(double calls) { return calls + 2 * std::sqrt(calls) + 2; }
+// Share of its capacity that an endpoint has so long after its return.
+double warmed(const FleetSpec& fleet, Duration since) {
+  const double warm = std::clamp(seconds(since) / fleet.warm_after, 0.0, 1.0);
+  return fleet.start_capacity + (1 - fleet.start_capacity) * warm;
+}
 
 }  // namespace
 
+double cold_bound(const FleetSpec& fleet, double capacity, Duration since) {
+  const double allowed = fleet.overload_factor * capacity * warmed(fleet, since) * fleet.overload_for;
+  return allowed + 2 * std::sqrt(allowed) + 2;
+}
+
 Endpoint::Endpoint(const FleetSpec& fleet, double capacity, std::uint32_t workers, double depth)
     : fleet_(&fleet), capacity_(capacity), depth_(depth), free_at_(workers, Time::min()) {}
 
@@ -25,12 +33,14 @@
   health_ = health;
 }
 
-double Endpoint::ratio(Time now) const {
-  if (!cold(now)) return 1;
-  const double warm = seconds(now - *cold_since_) / fleet_->warm_after;
-  return fleet_->start_capacity + (1 - fleet_->start_capacity) * warm;
+void Endpoint::come_back(Time now) {
+  if (health_ != Health::up) return;
+  cold_since_ = now;
+  came_.clear();
 }
 
+double Endpoint::ratio(Time now) const { return cold(now) ? warmed(*fleet_, now - *cold_since_) : 1; }
+
 std::size_t Endpoint::serving(Time now) const {
   const double at_work = ratio(now) * static_cast<double>(free_at_.size());
   return std::max<std::size_t>(1, static_cast<std::size_t>(at_work));
@@ -60,7 +70,7 @@
 double Endpoint::stands(Time now) const {
   double came = 0;
   for (const auto& [at, calls] : came_) came += at + span(fleet_->overload_for) < now ? 0 : calls;
-  return with_chance(fleet_->overload_factor * capacity_ * ratio(now) * fleet_->overload_for) - came;
+  return cold_bound(*fleet_, capacity_, cold_since_ ? now - *cold_since_ : span(fleet_->warm_after)) - came;
 }
 
 bool Endpoint::overloaded(Time now, double calls) {
--- a/lab/partner.h
+++ b/lab/partner.h
@@ -12,6 +12,10 @@
 
 enum class Health { up, refusing, silent, hung };
 
+// What a cold endpoint of that capacity (calls a second) stands in `overload_for`, `since` its return: N
+// calls that the settings allow it then, and for chance 2 x root of N and 2 more.
+double cold_bound(const FleetSpec& fleet, double capacity, Duration since);
+
 // One endpoint: workers, a bounded queue, and the ramp after an outage.
 class Endpoint {
  public:
@@ -21,6 +25,8 @@
   // The number grows with each end of its process: calls that an earlier one had are gone.
   std::uint32_t incarnation() const { return incarnation_; }
   void set_health(Health health, Time now);
+  // Back from an outage in which its process lived: it was shut, or failed its calls.
+  void come_back(Time now);
   bool cold(Time now) const { return cold_since_ && now < *cold_since_ + span(fleet_->warm_after); }
   // Share of its capacity that it has at this moment.
   double ratio(Time now) const;
--- a/lab/search.cpp
+++ b/lab/search.cpp
@@ -20,7 +20,7 @@
 
 const std::vector<Kind>& kinds() {
   static const std::vector<Kind> all = {
-      {FaultKind::kill, {0.02, 0.1}, {0.1, 0.8}, {1, 1}},
+      {FaultKind::kill, {0.02, 0.3}, {0.1, 0.8}, {1, 1}},
       {FaultKind::restart, {0.06, 0.1}, {0.1, 0.8}, {1, 1}},
       {FaultKind::rolling, {0.2, 0.6}, {1, 1}, {1, 1}},
       {FaultKind::upgrade, {0.01, 0.02}, {0.1, 1}, {1, 1}},
@@ -49,8 +49,19 @@
 double rounded(double v) { return std::round(v * 1000) / 1000; }
 Range point(double v) { return {rounded(v), rounded(v)}; }
 
-Scenario drawn(const Scenario& base, Random& random) {
+double by_ratio(const Range& r, Random& random) { return r.low * std::pow(r.high / r.low, random.unit()); }
+
+Scenario drawn(const Scenario& base, const SearchOptions& options, Random& random) {
   Scenario s = base;
+  if (options.relays) {
+    s.fleet.relays = static_cast<std::uint32_t>(std::lround(by_ratio(*options.relays, random)));
+  }
+  if (options.rate) {
+    s.fleet.endpoints = point(std::round(random.between(s.fleet.endpoints)));
+    s.fleet.per_partner = point(random.between(s.fleet.per_partner));
+    const double partners = std::max(1.0, s.fleet.endpoints.low / s.fleet.per_partner.low);
+    s.fleet.messages_per_relay = by_ratio(*options.rate, random) * partners / s.fleet.relays;
+  }
   s.fleet.load = point(random.between({0.5, 1.2}));
   const std::uint32_t n = 1 + random.below(kMostFaults);
   for (std::uint32_t i = 0; i < n; ++i) {
@@ -84,7 +95,7 @@
     for (std::size_t done = 0; done < options_.runs && !stopped();) {
       std::vector<Trial> trials;
       while (trials.size() < std::max(1U, options_.jobs) && done + trials.size() < options_.runs) {
-        Scenario scenario = drawn(base_, random);
+        Scenario scenario = drawn(base_, options_, random);
         trials.push_back({std::move(scenario), options_.seed + done + trials.size()});
       }
       for (Finding& f : judge(trials)) {
@@ -93,10 +104,12 @@
       done += trials.size();
       if (options_.progress) options_.progress(done, worst_);
     }
+    const std::size_t broken = broken_, runs = runs_;
     while (worst_ && !stopped() && shrink()) {
     }
     if (worst_) {
-      worst_->runs = runs_;
+      worst_->runs = runs;
+      worst_->broken = broken;
       worst_->scenario.name = base_.name + "-found";
       worst_->scenario.about = "Found by search from " + base_.name + "; shows itself with seed " +
                                std::to_string(worst_->seed) + ".";
@@ -128,6 +141,7 @@
       for (std::size_t r = 0; r < kRules && f.rule.empty(); ++r) {
         if (own.broken[r] > 0) f.rule = name_of(static_cast<Rule>(r));
       }
+      broken_ += f.rule.empty() ? 0 : 1;
       findings.push_back(std::move(f));
     }
     return findings;
@@ -172,7 +186,7 @@
   const SearchOptions& options_;
   std::optional<Finding> worst_;
   std::optional<double> first_loss_;
-  std::size_t runs_ = 0;
+  std::size_t runs_ = 0, broken_ = 0;
 };
 
 }  // namespace
--- a/lab/tool_search.cpp
+++ b/lab/tool_search.cpp
@@ -13,11 +13,19 @@
 struct Search {
   Common common;
   SearchOptions options;
+  std::vector<double> relays, rate;
   std::string out = "found.toml";
 
   int operator()() {
     const Scenario scenario = common.read();
     (void)policy(options.policy);
+    const auto range = [](const std::vector<double>& ends) -> std::optional<Range> {
+      if (ends.empty()) return std::nullopt;
+      if (!(ends[0] > 0 && ends[0] <= ends[1])) throw ScenarioError("a range of a search is upside down");
+      return Range{ends[0], ends[1]};
+    };
+    options.relays = range(relays);
+    options.rate = range(rate);
     std::ofstream file = open_output(out);
     options.jobs = common.jobs;
     options.stop = &stopped;
@@ -27,8 +35,9 @@
     const std::optional<Finding> found = search(scenario, options);
     if (!found) return kInterrupted;
     file << to_toml(found->scenario);
-    std::printf("%zu days played; the worst loses %.3f against the oracle%s%s\n", found->runs, found->loss,
-                found->rule.empty() ? "" : " and breaks ", found->rule.c_str());
+    std::printf("%zu days played, %zu with a broken rule; the worst loses %.3f against the oracle%s%s\n",
+                found->runs, found->broken, found->loss, found->rule.empty() ? "" : " and breaks ",
+                found->rule.c_str());
     std::printf("  %u relays, %.0f s, load %.2f:", found->scenario.fleet.relays, found->scenario.seconds,
                 found->scenario.fleet.load.low);
     for (const FaultSpec& f : found->scenario.faults) {
@@ -71,6 +80,10 @@
   sub->add_option("--runs", search->options.runs, "Days drawn")
       ->check(CLI::Range(1, 1000000))
       ->capture_default_str();
+  sub->add_option("--between-relays", search->relays, "Draw the number of relays: least and most")
+      ->expected(2);
+  sub->add_option("--rate", search->rate, "Draw the calls a second of a partner: least and most")
+      ->expected(2);
   sub->add_option("--seed", search->options.seed, "Seed of the search")->capture_default_str();
   sub->add_option("--out", search->out, "Scenario file that reproduces it")->capture_default_str();
   sub->callback([search, &status] { status = (*search)(); });
--- a/lab/world.cpp
+++ b/lab/world.cpp
@@ -296,6 +296,14 @@
   if (health != Health::hung && health != Health::silent) drop_connections(host);
 }
 
+// What turns all calls away or fails them is out too, and comes back cold.
+void World::no_service(std::uint32_t host, bool on) {
+  Endpoint& e = hosts_[host].endpoint;
+  if (e.health() != Health::up) return;  // its return is told at its own end
+  if (!on) e.come_back(timeline_.now());
+  see({.what = on ? What::host_down : What::host_back, .host = host});
+}
+
 void World::flap(const Fault& f, std::uint32_t turn) {
   const bool over = timeline_.now() >= f.at + f.lasts;
   for (const std::uint32_t h : f.targets)
@@ -356,14 +364,19 @@
     case FaultKind::slow:
       return on_hosts([this, &f](std::uint32_t h, bool on) { hosts_[h].endpoint.slow = on ? f.size : 1; });
     case FaultKind::failing:
-      return on_hosts([this](std::uint32_t h, bool on) { hosts_[h].endpoint.failing = on; });
+      return on_hosts([this](std::uint32_t h, bool on) {
+        hosts_[h].endpoint.failing = on;
+        no_service(h, on);
+      });
     case FaultKind::spoilt:
       return on_hosts([this, &f](std::uint32_t h, bool on) { hosts_[h].endpoint.spoilt = on ? f.size : 0; });
     case FaultKind::flapping:
       return flap(f, 0);
     case FaultKind::shut:
-      for (const std::uint32_t p : f.targets) partners_[p].shut_until = f.at + f.lasts;
-      return;
+      return on_hosts([this, &f](std::uint32_t p, bool on) {
+        if (on) partners_[p].shut_until = f.at + f.lasts;
+        for (const std::uint32_t h : day_.partners[p].endpoints) no_service(h, on);
+      });
     case FaultKind::lower_limit:
       return on_hosts([this, &f](std::uint32_t p, bool on) { partners_[p].lowered = on ? f.size : 1; });
     case FaultKind::drain:
--- a/lab/world_parts.h
+++ b/lab/world_parts.h
@@ -101,6 +101,7 @@
   void begin(const Fault& f);
   void flap(const Fault& f, std::uint32_t turn);
   void set_health(std::uint32_t host, Health health);
+  void no_service(std::uint32_t host, bool on);
   void list_changed(std::uint32_t host, vetchhinge::HostState state);
   void push(std::uint32_t relay, std::uint32_t host);
   void told(std::uint32_t relay, std::uint32_t host, vetchhinge::HostState state);
--- a/tests/lab_rules_test.cpp
+++ b/tests/lab_rules_test.cpp
@@ -2,10 +2,12 @@
 // keeps all of them on the same days.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <functional>
 #include <map>
 #include <set>
 
+#include "checker.h"
 #include "plays.h"
 #include "policy.h"
 #include "scenario.h"
@@ -174,6 +176,40 @@
                                          Case{Rule::invented, kNone}, Case{Rule::two_answers, kHung}),
                          [](const auto& c) { return std::string(name_of(c.param.sin)); });
 
+// The page's bound to the letter: more than N + 2 x root of N + 2 calls in the rule's time, N being what the
+// settings allow the host at that moment; and over two thirds of them from relays that had been told.
+TEST(LabRules, AColdHostFallsOfMoreThanThePageAllows) {
+  const Day day = draw(day_with(""), 3);
+  const FleetSpec& fleet = day.scenario.fleet;
+  const PartnerSpec& partner = day.partners[day.endpoints[0].partner];
+  const double capacity = partner.capacity / static_cast<double>(partner.endpoints.size());
+  const auto broken = [&](int calls, int told, Duration after, Duration apart) {
+    Checker checker(day);
+    checker.see({.at = Time(1s), .what = What::host_down});
+    for (std::uint32_t relay = 0; static_cast<int>(relay) < told; ++relay) {
+      checker.see({.at = Time(2s), .what = What::outcome, .relay = relay, .result = Result::connect_failed});
+    }
+    checker.see({.at = Time(3s), .what = What::host_back});
+    for (std::uint32_t relay = 0; static_cast<int>(relay) < calls; ++relay) {
+      const Time at = Time(3s) + after + relay * apart;
+      checker.see({.at = at, .what = What::arrived, .relay = relay});
+    }
+    return checker.count(Rule::cold_pushed_over) > 0;
+  };
+  for (const Duration after : {Duration(0s), Duration(4s)}) {
+    const double warm = fleet.start_capacity + (1 - fleet.start_capacity) * seconds(after) / fleet.warm_after;
+    const double n = fleet.overload_factor * warm * capacity * fleet.overload_for;
+    const int most = static_cast<int>(std::floor(n + 2 * std::sqrt(n) + 2));
+    EXPECT_FALSE(broken(most, most, after, 0s));
+    EXPECT_TRUE(broken(most + 1, most + 1, after, 0s));
+    const int two_thirds = 2 * (most + 1) / 3;
+    EXPECT_FALSE(broken(most + 1, two_thirds, after, 0s)) << "two thirds of the fall, and no more";
+    EXPECT_TRUE(broken(most + 1, two_thirds + 1, after, 0s));
+    EXPECT_FALSE(broken(most + 1, most + 1, after, span(fleet.overload_for / most) + 1us)) << "spread";
+  }
+  EXPECT_FALSE(broken(1000, 1000, span(fleet.warm_after) + 1us, 0s)) << "warm again";
+}
+
 // Restarts, cuts, lies of the list: the product keeps the rules, and each message has its end.
 TEST(LabFaults, TheProductKeepsTheRulesUnderEachKind) {
   for (const std::string kind :
