--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -204,8 +204,8 @@
     Journal journal(disk, 1'000'000'000, durability);
     for (std::size_t i = 0; i < messages; ++i) {
       for (const std::string& id : {"owed-" + std::to_string(i), "over-" + std::to_string(i)}) {
-        journal.accept({id, "refund", 7, "", "hello", WallTime(5s), {}});
-        journal.attempt(id, {"h", "z", WallTime(1s)});
+        journal.accept({id, "refund", 7, "", "hello", Moment{WallTime(5s), 0, {}}, {}});
+        journal.attempt(id, {"h", "z", Moment{WallTime(1s), 0, {}}});
       }
       journal.end("over-" + std::to_string(i));
     }
--- a/tests/working_set_test.cpp
+++ b/tests/working_set_test.cpp
@@ -50,7 +50,7 @@
             std::uint64_t(s->host),
             s->timeout.count(),
             s->idle_most.count(),
-            s->leave_within.count()};
+            s->leave_by.time_since_epoch().count()};
   }
   if (const auto* r = std::get_if<Refuse>(&a)) return {1, std::uint64_t(r->id), 0, r->wait.count(), 0, 0};
   if (const auto* f = std::get_if<Fail>(&a)) return {2, std::uint64_t(f->id), 0, 0, 0, 0};
