Share out no more descriptors than the system lets the process hold

Need: idle clients may fill the descriptors while discovery is down. tests/descriptors_test.cpp plays it with three real processes side by side, each with idle clients for four times its descriptors that come back as soon as they are closed, silent callers at the second address, 36 messages held for silent hosts, a notice owed, and discovery away for 8 s.

Seen: where the process may hold what the configuration says, nothing failed on the version before. Where the system allows fewer (256 configured, 96 to be had) it was not told in 18 s, the notice did not leave, and held messages were not delivered. With 128 and 64 the test was still under way after 60 s.

Ruled out: the order in which idle clients are closed (the same as in the two that pass) and what is set aside (enough where the limit is the configured one).

At fault: relay/config.cpp took limits.sockets as told, so Relay's shares (part_of) of 256 gave clients 123 of 96 descriptors. The door was never full, nobody was closed for a newcomer, and each descriptor that came free went to the next client in the backlog before the watch, notices and hosts got one.

Change: the lesser of limits.sockets and RLIMIT_NOFILE is shared out; the limit itself is left as it is. `check` still prints what the file says.

The test was seen failing without the change, as told above.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -1,5 +1,7 @@
 #include "config.h"
 
+#include <sys/resource.h>
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <charconv>
@@ -87,9 +89,17 @@
   return value;
 }
 
+// What the system lets this process hold. Shares of more would leave clients all that there is, and none to
+// discovery, hosts and files.
+std::size_t own_descriptors() {
+  rlimit most{};
+  if (::getrlimit(RLIMIT_NOFILE, &most) != 0 || most.rlim_cur == RLIM_INFINITY) return kNoLimit;
+  return static_cast<std::size_t>(most.rlim_cur);
+}
+
 }  // namespace
 
-Config parse_config(const std::string& source, const std::string& state_folder) {
+Config parse_config(const std::string& source, const std::string& state_folder, std::size_t descriptors) {
   boost::system::error_code error;
   const json::value parsed = json::parse(source, error);
   if (error) throw std::invalid_argument("config: not JSON: " + error.message());
@@ -104,7 +114,7 @@
     config.admin = parse_endpoint(text(root, "admin_addr"), "config: admin_addr");
   config.state_folder = state_folder;
   const json::object& limits = object_at(root, "limits");
-  config.sockets = static_cast<std::size_t>(limit(limits, "sockets"));
+  config.sockets = std::min(static_cast<std::size_t>(limit(limits, "sockets")), descriptors);
   config.disk_bytes = static_cast<std::uint64_t>(limit(limits, "disk_mb") * 1e6);
 
   std::ostringstream line;
@@ -152,7 +162,7 @@
   std::ifstream file(path, std::ios::binary);
   const std::string source{std::istreambuf_iterator<char>(file), {}};
   if (!file) throw std::invalid_argument("PROXY_CONFIG: cannot read " + path);
-  Config config = parse_config(source, state_folder);
+  Config config = parse_config(source, state_folder, own_descriptors());
   const char* admin = std::getenv("PROXY_ADMIN_ADDR");
   if (!config.admin && admin && *admin) config.admin = parse_endpoint(admin, "PROXY_ADMIN_ADDR");
   return config;
--- a/relay/config.h
+++ b/relay/config.h
@@ -1,7 +1,9 @@
 // What a relay is told at its start.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -24,7 +26,7 @@
   std::uint64_t copies_disk = 0;       // bytes that they may take; `disk_bytes` is what the journal may
   std::uint64_t seed = 0;              // new with each start
   std::string state_folder;
-  std::size_t sockets = 0;
+  std::size_t sockets = 0;  // descriptors: the lesser of what it is told and what the system allows
   std::uint64_t disk_bytes = 0;
   valedrum::recovery::Durability durability = valedrum::recovery::Durability::process;
   vetchhinge::Settings settings;
@@ -33,8 +35,12 @@
   ListUpdate known;  // the list of hosts as this relay last had it
 };
 
-// From the text of the configuration. Throws std::exception whose text names the field at fault.
-Config parse_config(const std::string& text, const std::string& state_folder);
+inline constexpr std::size_t kNoLimit = std::numeric_limits<std::size_t>::max();
+
+// From the text of the configuration, for a process that may hold so many descriptors. Throws std::exception
+// whose text names the field at fault.
+Config parse_config(const std::string& text, const std::string& state_folder,
+                    std::size_t descriptors = kNoLimit);
 
 // From the file that PROXY_CONFIG names, with PROXY_STATE for the folder.
 Config load_config();
