Ask for the list again within 5.4 s of the last moment in which it could be heard

Where lists are asked for, pauses went up to 0.8 of askWithin (8 s), on top of a call's own 3 to 4 s, and a second call was noted while the first still hung, which the relay passes over: the module then counted its pause from that. At fault: kAskMost in src/asking.cpp; ask_for_list in src/policy.cpp. Change: list_within is the smaller of the settings' askWithin and 6 s (adapter, lab); the next call is out within 0.9 of it, counted from the last call, or from when a watch fell silent (HostList::silent_for).

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -1,6 +1,8 @@
 #include "codec.h"
 
+#include <algorithm>
 #include <charconv>
+#include <chrono>
 #include <cmath>
 #include <limits>
 #include <type_traits>
@@ -8,6 +10,10 @@
 namespace vetchhinge::drill {
 namespace {
 
+// Whatever discovery has to tell counts as told so long after it had it and could be reached, also where the
+// settings name a longer time for a relay that has to ask (the platform's).
+constexpr Duration kTold = std::chrono::seconds(6);
+
 [[noreturn]] void reject(std::string_view line, std::string_view field, std::string_view what) {
   throw WireError(std::string(line) + ": " + std::string(field) + ": " + std::string(what));
 }
@@ -165,7 +171,7 @@
   s.max_wait_hint = line.span("allowed.maxRetryAfter");
   s.connection_idle = line.span("allowed.connIdle");
   if (line.find("rules.orderSettle")) s.order_settle = line.span("rules.orderSettle");
-  if (s.list_on_request) s.list_within = line.span("rules.askWithin");
+  if (s.list_on_request) s.list_within = std::min(line.span("rules.askWithin"), kTold);
   s.tick = line.span("tick");
   if (const auto zone = line.find("zone"); zone && !zone->empty())
     s.zone = ZoneId(dialect.zones.number(*zone));
--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -93,6 +93,7 @@
   enum class Kind { changes, whole, cached, lost };
   Kind kind = Kind::whole;
   std::vector<HostEntry> entries;
+  Duration silent_for{};  // lost: how long nothing had come before that was seen
 };
 
 // An attempt of a message that was made before its relay restarted.
--- a/lab/day.cpp
+++ b/lab/day.cpp
@@ -258,7 +258,7 @@
   s.relays = f.relays;
   s.wait_hints = true;
   s.list_on_request = scenario.discovery.on_request;
-  s.list_within = span(scenario.discovery.within);
+  s.list_within = std::min(span(scenario.discovery.within), kToldAfter);
   s.over_share_worth = 0.1;
   s.start_capacity = f.start_capacity;
   s.overload_factor = f.overload_factor;
--- a/lab/day.h
+++ b/lab/day.h
@@ -2,6 +2,7 @@
 // when. Nothing of it depends on the policy that is played.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <vector>
 
@@ -13,6 +14,9 @@
 using vetchhinge::Duration;
 using vetchhinge::Time;
 
+// Whatever discovery has to tell counts as told so long after it had it and could be reached (the page's).
+inline constexpr Duration kToldAfter = std::chrono::seconds(6);
+
 inline Duration span(double seconds) { return Duration(std::llround(seconds * 1e6)); }
 inline double seconds(Duration d) { return static_cast<double>(d.count()) / 1e6; }
 inline double seconds(Time t) { return seconds(t.time_since_epoch()); }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -133,8 +133,9 @@
     if (list.kind == HostList::Kind::lost) {
       // One that brought a list and ended early has cost discovery as much as one that failed.
       if (watched_since_ && now_ >= *watched_since_ + s_.list_within) asks_failed_ = 0;
+      if (watched_since_) heard_at_ = now_ - scaled(list.silent_for, 1 + kJitter * unit());
       watched_since_.reset();
-      ask_at_ = now_ + next_ask(s_, asks_failed_++, unit());
+      ask_at_ = now_ + next_ask(s_, asks_failed_++, now_ - heard_at_, unit());
       return;
     }
     if (list.kind != HostList::Kind::cached && !watched_since_) watched_since_ = now_;
@@ -208,7 +209,8 @@
   void ask_for_list() {
     if (!s_.list_on_request || watched_since_ || now_ < ask_at_) return;
     actions_.push_back(WatchList{});
-    ask_at_ = now_ + next_ask(s_, asks_failed_ + 2, unit());  // unless an answer comes first
+    heard_at_ = now_;
+    ask_at_ = now_ + 2 * s_.list_within;  // should the one answer that it gets never come
   }
 
   // -------------------------------------------------------------------------- admission
@@ -947,7 +949,7 @@
   std::size_t open_ = 0;
   std::optional<Time> watched_since_;
   int asks_failed_ = 0;
-  Time ask_at_ = Time::min();
+  Time ask_at_ = Time::min(), heard_at_{};  // when to ask; since when nothing could be heard at worst
   Time control_at_{};
   Time timer_at_ = Time::min();
   std::uint64_t step_ = 0;
