Give up a watch by whole lists, read indented ones, and keep older lists out

Seen: each byte renewed the 5 s of silence, so a watch that dripped or stopped in the middle of a list lived on; a list over several lines could not be read; an older list put back old state; a head with no list took 4 s and then 5 s. At fault: Discovery::read_changes (expires_after for each piece, text.find from the start). Change: relay/watch_clock is a state machine fed with time: a watch has 3 s from the call to its first whole list or empty line, 4 s from one to the next, renewed by each further MiB of a long list, not by bytes. relay/list_reader puts pieces together to JSON texts by their structure, each byte looked at once. A list of a lower version is passed over for 0.4 s; if the service does not catch up it is asked once more, at once, for the whole list, and that is taken: a service that counts anew must not be refused for ever. That an old list is kept out was not seen failing on sockets without the mend; nor was the long list played there.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "coroutine.h"
+#include "list_reader.h"
 
 namespace myrtlegrade {
 
@@ -19,14 +20,13 @@
 namespace http = beast::http;
 namespace json = boost::json;
 using namespace std::chrono_literals;
+using SteadyClock = std::chrono::steady_clock;
 
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr auto kAnswerWithin = 4s;  // discovery works through calls in turn and gives up by itself before
-constexpr auto kSilentFor = 5s;     // a watch says something every 2 s; a machine cut off says nothing
-constexpr std::size_t kMostLine = 16 << 20;
-constexpr std::size_t kMostNotices = 64;  // in one call
+constexpr std::size_t kReadAtOnce = 64 << 10;  // bytes of the watch (ours)
+constexpr std::size_t kMostNotices = 64;       // in one call
 constexpr auto kNoticeWithin = 200ms;  // for the answer, which comes at once; a notice that is late is lost
 constexpr auto kRetryFirst = 20ms;
 constexpr auto kRetryMost = 500ms;
@@ -55,8 +55,13 @@
 
 void Discovery::watch(std::int64_t from) {
   if (watch_) return;
+  versions_.hold(from);
+  watch_again();
+}
+
+void Discovery::watch_again() {
   watch_ = std::make_shared<beast::tcp_stream>(executor_);
-  spawn(executor_, run_watch(from, watch_));
+  spawn(executor_, run_watch(watch_));
 }
 
 void Discovery::move(const Endpoint& address, std::int64_t from) {
@@ -65,6 +70,7 @@
   // The old service may go on for a while: nothing that it still says may be mixed with what the new one
   // says.
   if (const Stream old = std::exchange(watch_, nullptr)) old->close();
+  versions_.move();
   watch(from);
   if (const Stream old = std::exchange(reports_, nullptr)) old->close();
   retry_.cancel();
@@ -77,46 +83,55 @@
   retry_.cancel();
 }
 
-asio::awaitable<void> Discovery::run_watch(std::int64_t from, Stream stream) {
-  co_await read_changes(from, stream);
+asio::awaitable<void> Discovery::run_watch(Stream stream) {
+  WatchClock clock(SteadyClock::now());
+  co_await read_changes(stream, clock);
   if (watch_ != stream) co_return;  // another has taken its place
   watch_ = nullptr;
-  on_lost_();
+  if (versions_.reopen()) co_return watch_again();
+  on_lost_(SteadyClock::now() -
+           std::min(clock.heard(), versions_.behind().value_or(SteadyClock::time_point::max())));
 }
 
-asio::awaitable<void> Discovery::read_changes(std::int64_t from, Stream connection) {
+asio::awaitable<void> Discovery::read_changes(Stream connection, WatchClock& clock) {
   beast::tcp_stream& stream = *connection;
-  stream.expires_after(kAnswerWithin);
+  stream.expires_at(clock.deadline());
   const auto [connect_error] = co_await stream.async_connect(address_, kAwait);
   if (connect_error || watch_ != connection) co_return;
-  http::request<http::empty_body> request{http::verb::get,
-                                          "/catalog/members?watch=1&from=" + std::to_string(from), 11};
+  const std::string from = std::to_string(versions_.open());
+  http::request<http::empty_body> request{http::verb::get, "/catalog/members?watch=1&from=" + from, 11};
   request.set(http::field::host, host_of(address_));
   const auto [write_error, written] = co_await http::async_write(stream, request, kAwait);
   if (write_error) co_return;
   beast::flat_buffer buffer;
+  buffer.reserve(kReadAtOnce);
   http::response_parser<http::string_body> parser;
   parser.body_limit(boost::none);
   const auto [head_error, head] = co_await http::async_read_header(stream, buffer, parser, kAwait);
   if (head_error || parser.get().result() != http::status::ok) co_return;
-  std::string text;
+  ListReader reader;
   while (!parser.is_done()) {
-    stream.expires_after(kSilentFor);
+    stream.expires_at(std::min(clock.deadline(), versions_.deadline()));
     const auto [error, count] = co_await http::async_read_some(stream, buffer, parser, kAwait);
     if (watch_ != connection) co_return;
-    text += std::exchange(parser.get().body(), {});
-    for (auto end = text.find('\n'); end != std::string::npos; end = text.find('\n')) {
-      const std::string line = text.substr(0, end);
-      text.erase(0, end + 1);
-      if (line.find_first_not_of(" \r\t") == std::string::npos) continue;
-      try {
-        on_list_(parse_list(json::parse(line)));
-      } catch (const std::exception& e) {
-        std::cerr << "discovery: a line of the watch can't be read: " << e.what() << '\n';
-        co_return;  // the list held may lack what it said
-      }
+    const std::string bytes = std::exchange(parser.get().body(), {});
+    try {
+      const bool ended = reader.read(bytes, [this](const json::value& text) { take(parse_list(text)); });
+      clock.came(SteadyClock::now(), bytes.size(), ended);
+    } catch (const std::exception& e) {
+      std::cerr << "discovery: a list of the watch can't be read: " << e.what() << '\n';
+      co_return;  // the list held may lack what it said
     }
-    if (error || text.size() > kMostLine) co_return;
+    if (error) co_return;
+  }
+}
+
+void Discovery::take(const ListUpdate& update) {
+  const bool was_behind = versions_.behind().has_value();
+  if (versions_.take(SteadyClock::now(), update.version)) return on_list_(update);
+  if (!was_behind) {
+    std::cerr << "discovery: a list of version " << update.version << " is older than the one held"
+              << std::endl;
   }
 }
 
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -5,6 +5,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -14,13 +15,15 @@
 
 #include "host_list.h"
 #include "journal.h"
+#include "watch_clock.h"
 
 namespace myrtlegrade {
 
 class Discovery {
  public:
   using OnList = std::function<void(const ListUpdate&)>;
-  using OnLost = std::function<void()>;
+  using OnLost =
+      std::function<void(std::chrono::steady_clock::duration silent)>;  // it had been silent so long
   using OnSettled = std::function<void(const std::string& message)>;
 
   Discovery(boost::asio::any_io_executor executor, Endpoint address, OnList on_list, OnLost on_lost,
@@ -43,8 +46,10 @@
  private:
   using Stream = std::shared_ptr<boost::beast::tcp_stream>;
 
-  boost::asio::awaitable<void> run_watch(std::int64_t from, Stream stream);
-  boost::asio::awaitable<void> read_changes(std::int64_t from, Stream stream);
+  void watch_again();
+  boost::asio::awaitable<void> run_watch(Stream stream);
+  boost::asio::awaitable<void> read_changes(Stream stream, WatchClock& clock);
+  void take(const ListUpdate& update);
   boost::asio::awaitable<void> run_notices();
 
   boost::asio::any_io_executor executor_;
@@ -52,7 +57,8 @@
   OnList on_list_;
   OnLost on_lost_;
   OnSettled on_settled_;
-  Stream watch_;    // the connection of the watch that counts; none: not watching
+  Stream watch_;  // the connection of the watch that counts; none: not watching
+  ListVersions versions_;
   Stream reports_;  // the connection that notices go out on, kept between them
   bool sending_ = false;
   std::deque<Notice> notices_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -74,7 +74,8 @@
                    }),
       discovery_(
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
-          [this] { watch_lost(); }, [this](const std::string& message) { notice_settled(message); }),
+          [this](SteadyClock::duration silent) { watch_lost(silent); },
+          [this](const std::string& message) { notice_settled(message); }),
       server_(
           executor, std::move(listening), part_of(config_.sockets, kClientShare), [this] { return ready(); },
           [this](HandIn message, Server::Respond respond) {
@@ -351,10 +352,11 @@
 
 // Where the list comes on request, the module asks for it. Where it comes by itself the module never does:
 // on sockets too it comes through a watch, which is the relay's to keep open.
-void Relay::watch_lost() {
+void Relay::watch_lost(SteadyClock::duration silent) {
   ++counters_.lists_lost;
   if (config_.settings.list_on_request) {
-    happened(vetchhinge::HostList{vetchhinge::HostList::Kind::lost, {}});
+    happened(vetchhinge::HostList{
+        vetchhinge::HostList::Kind::lost, {}, std::chrono::duration_cast<Duration>(silent)});
     return;
   }
   watch_timer_.expires_after(kWatchAgain);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -117,7 +117,7 @@
 
   void reported(vetchhinge::HostId host, const CallItem& item, const CallResult& result);
   void listed(const ListUpdate& update);
-  void watch_lost();
+  void watch_lost(std::chrono::steady_clock::duration silent);
   vetchhinge::HostList take_list(const ListUpdate& update);
   void take_up(const StoredMessage& stored, const OutCall* out, const std::vector<bool>& astray = {});
   void take_up_out(const OutCall& out);
