--- a/lab/scenario.cpp
+++ b/lab/scenario.cpp
@@ -1,25 +1,20 @@
 #include "scenario.h"
 
-#define TOML_EXCEPTIONS 1
-#include <toml++/toml.h>
-
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <fstream>
-#include <iterator>
-#include <limits>
-#include <set>
 #include <sstream>
 #include <utility>
 
+#include "toml_reader.h"
+
 namespace valedrum::lab {
 namespace {
 
 constexpr double kDay = 86400;
 
-template <typename Enum>
-struct Names;
+}  // namespace
+
 template <>
 struct Names<Effect> {
   static constexpr std::array<std::string_view, 3> all = {"idempotent", "deduplicated", "at_most_once"};
@@ -38,13 +33,10 @@
       "link_twice",  "link_throttle", "link_garbage", "twin"};
 };
 
-struct Bounds {
-  double least = 0, most = 0;
-};
-
-// The fields of each table, told once for reading and writing.
+// The fields of each table, told once for reading and writing. Found by the types of their arguments, so in
+// no unnamed namespace.
 template <typename V>
-void fields(V& v, ClassSpec& c) {
+static void fields(V& v, ClassSpec& c) {
   v("name", c.name);
   v("share", c.share, Bounds{0, 1});
   v("aim", c.aim, Bounds{0.001, kDay});
@@ -57,7 +49,7 @@
 }
 
 template <typename V>
-void fields(V& v, KindSpec& k) {
+static void fields(V& v, KindSpec& k) {
   v("name", k.name);
   v("share", k.share, Bounds{0, 1});
   v("lean", k.lean, Bounds{-1, 1});
@@ -76,7 +68,7 @@
 }
 
 template <typename V>
-void fields(V& v, FleetSpec& f) {
+static void fields(V& v, FleetSpec& f) {
   v("relays", f.relays, Bounds{1, 10000});
   v("zones", f.zones, Bounds{1, 64});
   v("endpoints", f.endpoints, Bounds{1, 100000});
@@ -105,7 +97,7 @@
 }
 
 template <typename V>
-void fields(V& v, ClientSpec& c) {
+static void fields(V& v, ClientSpec& c) {
   v("clumps", c.clumps, Bounds{0, 0.95});
   v("clump", c.clump, Bounds{0.01, 100});
   v("clump_spread", c.clump_spread, Bounds{0, 100});
@@ -117,7 +109,7 @@
 }
 
 template <typename V>
-void fields(V& v, NetworkSpec& n) {
+static void fields(V& v, NetworkSpec& n) {
   v("between", n.between, Bounds{0, 10});
   v("within", n.within, Bounds{0, 10});
   v("jitter", n.jitter, Bounds{0, 1});
@@ -126,7 +118,7 @@
 }
 
 template <typename V>
-void fields(V& v, DiscoverySpec& d) {
+static void fields(V& v, DiscoverySpec& d) {
   v("delay", d.delay, Bounds{0, 100});
   v("on_request", d.on_request);
   v("within", d.within, Bounds{0.1, 1000});
@@ -136,7 +128,7 @@
 }
 
 template <typename V>
-void fields(V& v, FaultSpec& f) {
+static void fields(V& v, FaultSpec& f) {
   v("kind", f.kind);
   v("at", f.at, Bounds{0, kDay});
   v("lasts", f.lasts, Bounds{0, kDay});
@@ -147,7 +139,7 @@
 }
 
 template <typename V>
-void fields(V& v, Scenario& s) {
+static void fields(V& v, Scenario& s) {
   v("version", s.version);
   v("name", s.name);
   v("about", s.about);
@@ -161,124 +153,7 @@
   v("fault", s.faults);
 }
 
-class Reader {
- public:
-  Reader(const toml::table& table, const std::string& path) : table_(table), path_(path) {}
-
-  // Every key has to be one that was asked for.
-  void refuse_unknown() const {
-    for (const auto& [key, node] : table_) {
-      if (!asked_.contains(std::string(key.str()))) {
-        fail(path_, key.source().begin, "unknown field '" + std::string(key.str()) + "'");
-      }
-    }
-  }
-
-  void operator()(const char* name, double& value, Bounds bounds) {
-    if (const toml::node* node = find(name)) value = number(*node, name, bounds);
-  }
-  void operator()(const char* name, Range& value, Bounds bounds) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    const toml::array* both = node->as_array();
-    if (!both) {
-      value.low = value.high = number(*node, name, bounds);
-      return;
-    }
-    if (both->size() != 2) fail(*node, name, "must be a number or a range of two");
-    value = {number(*both->get(0), name, bounds), number(*both->get(1), name, bounds)};
-    if (value.low > value.high) fail(*node, name, "is a range whose ends are upside down");
-  }
-  void operator()(const char* name, std::uint32_t& value, Bounds bounds) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    if (!node->is_integer()) fail(*node, name, "must be a whole number");
-    value = static_cast<std::uint32_t>(number(*node, name, bounds));
-  }
-  void operator()(const char* name, std::int64_t& value) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    if (!node->is_integer()) fail(*node, name, "must be a whole number");
-    value = *node->value<std::int64_t>();
-  }
-  void operator()(const char* name, bool& value) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    if (!node->is_boolean()) fail(*node, name, "must be true or false");
-    value = *node->value<bool>();
-  }
-  void operator()(const char* name, std::string& value) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    if (!node->is_string()) fail(*node, name, "must be text");
-    value = *node->value<std::string>();
-  }
-  template <typename Enum>
-  requires std::is_enum_v<Enum>
-  void operator()(const char* name, Enum& value) {
-    std::string text(Names<Enum>::all[static_cast<std::size_t>(value)]);
-    (*this)(name, text);
-    const auto at = std::ranges::find(Names<Enum>::all, text);
-    if (at == Names<Enum>::all.end()) fail(*find(name), name, "can't be '" + text + "'");
-    value = static_cast<Enum>(at - Names<Enum>::all.begin());
-  }
-  template <typename Spec>
-  requires std::is_class_v<Spec>
-  void operator()(const char* name, Spec& spec) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    const toml::table* table = node->as_table();
-    if (!table) fail(*node, name, "must be a table");
-    Reader inner(*table, path_);
-    fields(inner, spec);
-    inner.refuse_unknown();
-  }
-  template <typename Spec>
-  void operator()(const char* name, std::vector<Spec>& specs) {
-    const toml::node* node = find(name);
-    if (!node) return;
-    const toml::array* all = node->as_array();
-    if (!all || all->empty() || !all->is_homogeneous(toml::node_type::table)) {
-      fail(*node, name, "must be tables");
-    }
-    specs.clear();
-    for (const toml::node& one : *all) {
-      Reader inner(*one.as_table(), path_);
-      fields(inner, specs.emplace_back());
-      inner.refuse_unknown();
-    }
-  }
-
-  [[noreturn]] static void fail(const std::string& path, const toml::source_position& at,
-                                const std::string& what) {
-    throw ScenarioError(path + ":" + std::to_string(at.line) + ":" + std::to_string(at.column) + ": " + what);
-  }
-
- private:
-  [[noreturn]] void fail(const toml::node& node, const char* name, const std::string& what) const {
-    fail(path_, node.source().begin, std::string(name) + " " + what);
-  }
-
-  const toml::node* find(const char* name) {
-    asked_.insert(name);
-    return table_.get(name);
-  }
-
-  double number(const toml::node& node, const char* name, Bounds bounds) const {
-    const auto value = node.is_number() ? node.value<double>() : std::nullopt;
-    if (!value) fail(node, name, "must be a number");
-    if (!std::isfinite(*value) || *value < bounds.least || *value > bounds.most) {
-      std::ostringstream text;
-      text << "must lie from " << bounds.least << " to " << bounds.most;
-      fail(node, name, text.str());
-    }
-    return *value;
-  }
-
-  const toml::table& table_;
-  const std::string& path_;
-  std::set<std::string> asked_;
-};
+namespace {
 
 class Writer {
  public:
@@ -402,18 +277,7 @@
 }
 
 Scenario parse_scenario(std::string_view text, const std::string& path) {
-  toml::table table;
-  try {
-    table = toml::parse(text, path);
-  } catch (const toml::parse_error& e) {
-    Reader::fail(path, e.source().begin, std::string(e.description()));
-  }
-  const toml::node* version = table.get("version");
-  if (!version || !version->is_integer()) throw ScenarioError(path + ":1:1: version is missing");
-  if (*version->value<std::int64_t>() != kScenarioVersion) {
-    Reader::fail(path, version->source().begin,
-                 "version must be " + std::to_string(kScenarioVersion) + ", the one that this program knows");
-  }
+  const toml::table table = parse_toml(text, path, kScenarioVersion);
   Scenario s;
   Reader reader(table, path);
   fields(reader, s);
@@ -428,12 +292,7 @@
   return s;
 }
 
-Scenario read_scenario(const std::string& path) {
-  std::ifstream file(path);
-  std::string text{std::istreambuf_iterator<char>(file), {}};
-  if (!file || text.empty()) throw ScenarioError(path + ": can't be read");
-  return parse_scenario(text, path);
-}
+Scenario read_scenario(const std::string& path) { return parse_scenario(read_toml_text(path), path); }
 
 std::string to_toml(const Scenario& scenario) {
   Scenario copy = scenario;
--- a/relay/fleet.cpp
+++ b/relay/fleet.cpp
@@ -1,9 +1,7 @@
 #include "fleet.h"
 
-#include <array>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/read.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/array.hpp>
@@ -14,6 +12,7 @@
 #include <utility>
 
 #include "coroutine.h"
+#include "fleet_stream.h"
 
 namespace myrtlegrade {
 
@@ -32,29 +31,9 @@
 constexpr auto kStreamWithin = 3s;   // for all of an exchange
 constexpr auto kAddressAgain = 100ms;
 constexpr unsigned kMostLines = 200;  // in ten seconds; what is more is counted
-constexpr std::size_t kLength = 4;    // bytes ahead of a frame
 
 asio::ip::address_v4 ip_of(const membership::Address& a) { return asio::ip::address_v4(a.ip); }
 
-std::string framed(const std::string& frame) {
-  std::string all;
-  for (int shift = 0; shift < 32; shift += 8) all += static_cast<char>(frame.size() >> shift & 0xff);
-  return all + frame;
-}
-
-asio::awaitable<std::optional<std::string>> read_frame(boost::beast::tcp_stream& stream) {
-  std::array<unsigned char, kLength> head;
-  const auto [error, count] = co_await asio::async_read(stream, asio::buffer(head), kAwait);
-  if (error) co_return std::nullopt;
-  std::size_t size = 0;
-  for (std::size_t i = 0; i < kLength; ++i) size |= static_cast<std::size_t>(head[i]) << (8 * i);
-  if (size == 0 || size > membership::kMostFrame) co_return std::nullopt;
-  std::string frame(size, '\0');
-  const auto [cut, got] = co_await asio::async_read(stream, asio::buffer(frame), kAwait);
-  if (cut) co_return std::nullopt;
-  co_return frame;
-}
-
 }  // namespace
 
 Fleet::Fleet(asio::any_io_executor executor, const FleetConfig& config, const std::string& name,
