--- a/lab/drive.cpp
+++ b/lab/drive.cpp
@@ -106,7 +106,7 @@
     relays_[r].told.assign(hosts_.size(), HostState::running);
     relays_[r].told_change.assign(hosts_.size(), 0);
   }
-  if (options.fleet) lay_wire();
+  if (options.fleet && options.joins.empty()) lay_wire();
 }
 
 Drive::~Drive() = default;
@@ -205,7 +205,7 @@
                       {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", 8}}},
                       {"known", json::parse(list(relay, 0, r.ended, version))},
                       {"settings", settings}};
-  if (wire_) {
+  if (options_.fleet) {
     config["admin_addr"] = text(r.admin);
     config["fleet"] = fleet_config(relay);
     if (options_.copies > 0) config["copies"] = copies_config(relay);
--- a/lab/drive.h
+++ b/lab/drive.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "day.h"
 #include "result.h"
@@ -15,8 +16,11 @@
   std::string program;  // the relay
   std::string folder;   // for what relays keep and log; made, and left where it was named
   const std::atomic<bool>* stop = nullptr;
-  bool fleet = false;          // the relays keep a view of the fleet, over a wire with the day's faults
-  std::string without;         // a part of it that is broken on purpose; for a program that was built to know
+  bool fleet = false;   // the relays keep a view of the fleet, over a wire with the day's faults
+  std::string without;  // a part of it that is broken on purpose; for a program that was built to know
+  // Members of a fleet that others keep: the relays join it, reached at their own addresses, and no wire lies
+  // between. What they see of it is not judged.
+  std::vector<std::string> joins{};
   unsigned copies = 0;         // of what each relay holds, by others; needs `fleet`
   bool accept_short = false;   // what too few others hold is taken on nevertheless
   unsigned lease_ms = 1000;    // of who acts on what was copied
--- a/lab/drive_fleet.cpp
+++ b/lab/drive_fleet.cpp
@@ -38,19 +38,23 @@
   last_fault_ = last_fault(day_);
 }
 
+asio::ip::address_v4 Drive::reached_at(std::uint32_t relay) const {
+  return address(wire_ ? 300 + relay : relay);
+}
+
 json::object Drive::fleet_config(std::uint32_t place) const {
   const bool twin = place == relays_.size();
   const asio::ip::address_v4 own = twin ? address(340) : address(place);
   const auto at = [](const asio::ip::address_v4& a) {
     return a.to_string() + ":" + std::to_string(kFleetPort);
   };
-  json::array seeds;
-  for (std::uint32_t s = 0; s < std::min(kSeeds, relays_.size()); ++s)
+  json::array seeds(options_.joins.begin(), options_.joins.end());
+  for (std::uint32_t s = 0; wire_ && s < std::min(kSeeds, relays_.size()); ++s)
     seeds.emplace_back(at(address(300 + s)));
   const membership::Settings s = fleet_settings(options_.probe_ms);
   json::object config{{"name", s.fleet},
                       {"bind", at(own)},
-                      {"advertise", at(twin ? address(341) : address(300 + place))},
+                      {"advertise", at(twin ? address(341) : reached_at(place))},
                       {"machine", "m" + std::to_string(place)},
                       {"seeds", std::move(seeds)},
                       {"probe_ms", s.probe_every / 1ms},
@@ -66,7 +70,7 @@
     return a.to_string() + ":" + std::to_string(kCopiesPort);
   };
   json::object config{{"bind", at(address(place))},
-                      {"advertise", at(address(300 + place))},
+                      {"advertise", at(reached_at(place))},
                       {"copies", options_.copies},
                       {"lease_ms", options_.lease_ms},
                       {"on_shortage", options_.accept_short ? "accept" : "refuse"}};
--- a/lab/drive_parts.h
+++ b/lab/drive_parts.h
@@ -128,6 +128,7 @@
 
   // ------------------------------------------------------------------ drive_fleet.cpp
   void lay_wire();
+  asio::ip::address_v4 reached_at(std::uint32_t relay) const;  // by other relays
   boost::json::object fleet_config(std::uint32_t place) const;
   boost::json::object copies_config(std::uint32_t place) const;
   std::uint32_t sender_of(const HttpRequest& request, std::uint32_t relay) const;
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -24,6 +24,7 @@
   add_drive(app, status);
   add_fleet(app, status);
   add_copies(app, status);
+  add_scale(app, status);
   return run_command_line(app, argc, argv, status);
 }
 
--- a/lab/tool.h
+++ b/lab/tool.h
@@ -43,5 +43,6 @@
 void add_drive(CLI::App& app, int& status);
 void add_fleet(CLI::App& app, int& status);
 void add_copies(CLI::App& app, int& status);
+void add_scale(CLI::App& app, int& status);
 
 }  // namespace valedrum::lab
