--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -26,6 +26,7 @@
   add_copies(app, status);
   add_capacity(app, status);
   add_backlog(app, status);
+  add_scale(app, status);
   return run_command_line(app, argc, argv, status);
 }
 
--- a/lab/tool.h
+++ b/lab/tool.h
@@ -45,5 +45,6 @@
 void add_copies(CLI::App& app, int& status);
 void add_capacity(CLI::App& app, int& status);
 void add_backlog(CLI::App& app, int& status);
+void add_scale(CLI::App& app, int& status);
 
 }  // namespace valedrum::lab
