Keep what all relays send a returning host under the settings' sum

At fault: kRampLeast and kRampLeastAll let all relays send 100 calls a second whatever the destination takes, kRampShare went over overload_factor, and in host_has_room() the single calls of an open circuit passed by the budget. The estimate of a thin relay took the larger of two noisy rates, which adds up over relays. Ruled out: the rule's own slack, which is for chance.

Now the budget holds for these calls too, its rate is overload_factor x the present share x the own rate or an even part of the limit told, the own rate weighs what was accepted before by how many calls tell of it, the least is half a call of all relays in overload_for, each relay begins at a moment of its own within its turn, and nothing is saved up while a told wait lasts. The three constants are gone.

Cold.* were seen failing without the mend, all three.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -80,7 +80,7 @@
 constexpr Duration kShutSpan = 2500ms;  // see above; longer than a limit's usual span (ours)
 constexpr double kJitter = 0.25;        // spread of pauses, both ways (ours)
 constexpr double kArrivalShare = 0.7;   // of what arrives, where few calls have been accepted yet (ours)
-constexpr double kOwnLeast = 3.0;    // calls a second of all relays; an own rate is at least its part (ours)
+constexpr double kOwnLeast = 0.5;    // calls of all relays in the time of the rule, as it starts cold (ours)
 constexpr double kAgainShare = 0.4;  // of such a pause, rest of a message after a failed attempt (ours)
 constexpr Duration kWindowMargin = 100ms;  // a key's window is held to end so much earlier (ours)
 
@@ -529,10 +529,10 @@
   }
 
   bool host_has_room(Host& h) {
-    if (h.failures >= kOpenAfter) return h.in_flight == 0 && now_ >= h.retry_at;  // circuit half-open
-    if (stalled(h)) return false;
+    const bool open = h.failures >= kOpenAfter;  // circuit half-open: one call
+    if (open ? h.in_flight > 0 || now_ < h.retry_at : stalled(h)) return false;
     if (!h.cold) return true;
-    refill_budget(h, lanes_[h.lane], s_, now_);
+    refill_budget(h, lanes_[h.lane], own_rate(lanes_[h.lane]), s_, now_);
     return h.budget >= 1;
   }
 
@@ -773,14 +773,13 @@
 
   void outage_seen(Host& h) {
     Lane& l = lanes_[h.lane];
-    if (!h.cold) {
-      l.usual_before = 0;
-      l.usual_before = own_rate(l);  // kept from before: the meter forgets during the outage
-    }
+    // Kept from before: the meter forgets during the outage.
+    if (!h.cold) l.usual_before = l.usual_calls.per_second(now_, kRateLeast);
     l.pace = 0;  // the cold budget takes over
+    // At any moment within its turn: relays that see the same don't call together.
+    h.budget = std::min(h.cold ? h.budget : 1, unit());
     h.cold = true;
     h.warm_since.reset();
-    h.budget = 0;
     h.budget_at = now_;
   }
 
@@ -810,12 +809,16 @@
     }
   }
 
-  // What this relay used to send there, or is asked to. A destination sees the sum over all relays: pauses
-  // and budgets in proportion to it keep that sum in bounds, however many relays there are.
+  // What this relay used to send there, the surer the more calls tell of it, or is asked to. A destination
+  // sees the sum over all relays: budgets in proportion to it keep that sum in bounds, however many there
+  // are.
   double own_rate(Lane& l) {
     const double asked = kArrivalShare * destinations_[l.destination].arrivals.per_second(now_, kRateLeast);
-    return std::max(
-        {l.usual_before, l.usual_calls.per_second(now_, kRateLeast), asked, kOwnLeast / s_.relays});
+    const double usual = std::max(l.usual_before, l.usual_calls.per_second(now_, kRateLeast));
+    const double known = usual * seconds(kUsualMemory);
+    const double least = kOwnLeast / (s_.overload_factor * s_.start_capacity * s_.relays *
+                                      std::max(seconds(s_.overload_for), seconds(kHeartbeat)));
+    return std::max(least, (known * usual + asked) / (known + 1));
   }
 
   Duration backoff(Lane& l) {
--- a/src/ramp.cpp
+++ b/src/ramp.cpp
@@ -26,10 +26,7 @@
 constexpr double kPartBeyond = 0.25;  // the same above its part, which others may want (ours)
 constexpr double kPartCut = 0.5;      // factor on what is used above its part when little is left (ours)
 constexpr double kPartRoom = 1.4;     // a relay's part, multiple of the share that it usually uses (ours)
-constexpr double kRampShare = 1.2;    // share of overload_factor spent on a cold host (ours)
-constexpr double kRampLeast = 1.0;    // calls a second a cold destination may get at least (ours)
-constexpr double kRampLeastAll = 100.0;  // and from all relays together (ours)
-constexpr double kBurstSpan = 0.3;       // seconds of a cold host's budget that may be saved up (ours)
+constexpr double kBurstSpan = 0.3;    // seconds of a cold host's budget that may be saved up (ours)
 
 }  // namespace
 
@@ -90,8 +87,8 @@
       rate == kLimitMost ? 1 : std::min(l.pace_budget + rate * passed, std::max(1.0, rate * kBurstSpan));
 }
 
-void refill_budget(Host& h, Lane& l, const Settings& s, Time now) {
-  const double passed = seconds(now - h.budget_at);
+void refill_budget(Host& h, const Lane& l, double own_rate, const Settings& s, Time now) {
+  const double passed = seconds(now - std::max(h.budget_at, l.wait_until));
   h.budget_at = now;
   if (h.warm_since && now > *h.warm_since + s.warm_after) {
     h.cold = false;
@@ -100,9 +97,8 @@
   const double warmed =
       h.warm_since && s.warm_after > 0us ? seconds(now - *h.warm_since) / seconds(s.warm_after) : 0;
   const double share = s.start_capacity + (1 - s.start_capacity) * warmed;
-  const double usual = l.usual_before / static_cast<double>(l.hosts.size());
-  const double least = std::min(kRampLeast, kRampLeastAll / s.relays) / static_cast<double>(l.hosts.size());
-  const double rate = std::max(least, kRampShare * s.overload_factor * share * usual);
+  const double part = std::max(own_rate, l.told_limit / s.relays) / static_cast<double>(l.hosts.size());
+  const double rate = s.overload_factor * share * part;
   h.budget = std::min(h.budget + rate * passed, std::max(1.0, rate * kBurstSpan));
 }
 
--- a/src/ramp.h
+++ b/src/ramp.h
@@ -31,7 +31,9 @@
 
 // A returning host gets what the settings say it can surely take, in terms of what it took before: its usual
 // rate is under its capacity, so that rate's share at start, grown to the whole over the warm-up, stays under
-// what it can do at that moment, however many relays do the same.
-void refill_budget(Host& h, Lane& l, const Settings& s, Time now);
+// what it can do at that moment, however many relays do the same; so does an even part of the limit that was
+// told. Nothing is saved up while a told wait
+// lasts: it ends for all at once.
+void refill_budget(Host& h, const Lane& l, double own_rate, const Settings& s, Time now);
 
 }  // namespace vetchhinge
--- a/tests/fleet_limit_test.cpp
+++ b/tests/fleet_limit_test.cpp
@@ -2,11 +2,14 @@
 // events.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cmath>
+#include <deque>
 #include <functional>
 #include <limits>
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include "vetchhinge/policy.h"
@@ -64,7 +67,8 @@
     counts_.clear();
     return all / std::chrono::duration<double>(span).count();
   }
-  int expired() const { return expired_; }  // messages held until their time was up
+  std::size_t caller() const { return caller_; }  // the member whose call is being answered
+  int expired() const { return expired_; }        // messages held until their time was up
   double calls_of(std::size_t member, Duration span) {
     return counts_[member] / std::chrono::duration<double>(span).count();
   }
@@ -96,6 +100,7 @@
       const auto* send = std::get_if<Send>(&a);
       if (!send) continue;
       ++counts_[place];
+      caller_ = place;
       Outcome outcome = answer_(now_);
       outcome.id = send->id;
       outcome.attempt = m.attempts[send->id]++;
@@ -109,6 +114,7 @@
   std::vector<Member> members_;
   std::map<std::size_t, int> counts_;
   int expired_ = 0;
+  std::size_t caller_ = 0;
   Time now_{};
 };
 
@@ -330,5 +336,56 @@
   EXPECT_GT(fleet.calls(10s), 18);
 }
 
+// Relays that see a destination fail got `usual` calls a second through to it before. The most that came
+// within the rule's time, over what it stands then: N calls that the settings allow it, and for chance 2 x
+// root of N and 2 more. As in the rule, it counts where over two thirds came from relays that had been told.
+double pushed(std::uint32_t relays, double usual, const Outcome& out) {
+  constexpr double kCapacity = 1.2;  // multiple of the usual rate
+  const Time down(30s), back(42s);
+  const Settings s = settings(relays, 1);
+  std::deque<std::pair<Time, std::size_t>> came;
+  std::set<std::size_t> told;
+  double most = 0;
+  int tried = 0;  // after its return
+  const Fleet* calling = nullptr;
+  Fleet fleet(relays, usual / relays, [&](Time now) {
+    if (now >= down && now < back) {
+      told.insert(calling->caller());
+      return out;
+    }
+    tried += now >= back ? 1 : 0;
+    came.emplace_back(now, calling->caller());
+    while (came.front().first + s.overload_for < now) came.pop_front();
+    const auto by_told = std::ranges::count_if(came, [&](const auto& c) { return told.contains(c.second); });
+    if (3 * by_told <= 2 * std::ssize(came)) return Outcome{};
+    const double warm = std::chrono::duration<double>(now - back) / s.warm_after;
+    if (warm < 0 || warm >= 1) return Outcome{};
+    const double capacity = kCapacity * usual * std::lerp(s.start_capacity, 1, warm);
+    const double n = s.overload_factor * capacity * std::chrono::duration<double>(s.overload_for).count();
+    most = std::max(most, static_cast<double>(came.size()) / (n + 2 * std::sqrt(n) + 2));
+    return Outcome{};
+  });
+  calling = &fleet;
+  fleet.run(56s);
+  EXPECT_GT(tried, 0);
+  return most;
+}
+
+void stays_in_its_bound(const Outcome& out) {
+  for (const auto& [relays, usual] : {std::pair{30U, 1.0}, {30U, 3.0}, {30U, 30.0}, {150U, 20.0}}) {
+    EXPECT_LE(pushed(relays, usual, out), 1) << relays << " relays, " << usual << " calls a second";
+  }
+}
+
+TEST(Cold, WhatAllRelaysSendADestinationThatWasDownStaysInItsBound) {
+  Outcome down;
+  down.result = Result::connect_failed;
+  stays_in_its_bound(down);
+}
+
+TEST(Cold, WhatAllRelaysSendADestinationThatToldAWaitStaysInItsBound) { stays_in_its_bound(full(1, 0, 4s)); }
+
+TEST(Cold, WhatAllRelaysSendADestinationThatWasShutStaysInItsBound) { stays_in_its_bound(full(1, 0)); }
+
 }  // namespace
 }  // namespace vetchhinge
