--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -72,6 +72,7 @@
                    [this](HostId host, const CallItem& item, const CallResult& result) {
                      reported(host, item, result);
                    }),
+      endpoints_(config_.dialect, config_.settings, journal_, host_client_),
       discovery_(
           executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
           [this] { watch_lost(); }, [this](const std::string& message) { notice_settled(message); }),
@@ -96,7 +97,7 @@
 
 void Relay::start() {
   const auto inherited = std::exchange(inherited_, std::nullopt);
-  vetchhinge::HostList cached = take_list(inherited ? inherited->list : config_.known);
+  vetchhinge::HostList cached = endpoints_.take(inherited ? inherited->list : config_.known);
   cached.kind = vetchhinge::HostList::Kind::cached;
   if (inherited) {
     // The module gets to know a host when it hears that it runs: also one that drains by now, for what was
@@ -137,7 +138,7 @@
   step();
   if (copies_) copies_->start();
   server_.start();
-  if (!config_.settings.list_on_request) discovery_.watch(list_version_);
+  if (!config_.settings.list_on_request) discovery_.watch(endpoints_.version());
   keep_log();
 }
 
@@ -176,7 +177,7 @@
     return;
   }
   if (copied_elsewhere(message, respond)) return;
-  if (!destinations_.contains(message.destination)) {
+  if (!endpoints_.is_destination(message.destination)) {
     return respond({Answer::Kind::unknown_destination, whole_ms(config_.settings.max_wait_hint)});
   }
   const bool full = held_ >= config_.settings.max_open ||
@@ -254,13 +255,7 @@
 }
 
 vetchhinge::PastAttempt Relay::past(Open& open, const OutCall& out) {
-  const HostId id{config_.dialect.hosts.number(out.host)};
-  const auto [host, added] = hosts_.try_emplace(id);
-  if (added) {  // gone from the list meanwhile
-    host->second.cell = out.destination;
-    host->second.zone = out.zone;
-  }
-  ++host->second.out;
+  const HostId id = endpoints_.call_elsewhere(out.host, out.destination, out.zone);
   open.out.push_back({out.attempt, id, out.call, out.sent, true});
   const vetchhinge::ZoneId zone{config_.dialect.zones.number(out.zone)};
   return {zone, now() + (out.sent - wall_now()), true, true, id, out.call};
@@ -297,14 +292,7 @@
   outcome.connection = result.connection;
   happened(outcome);
   // A wait binds from the answer's arrival, not from the next step: what still connects must not go out.
-  if (result.wait > 0us) {
-    const Host& told = hosts_.at(host);
-    if (config_.settings.kinds[told.kind].routes_apart) {
-      withhold_host(host);
-    } else {
-      withhold(told.cell);
-    }
-  }
+  if (result.wait > 0us) endpoints_.withhold_told(host);
   if (!open.over) {
     const bool never_ran = result.result == Result::full || result.result == Result::connect_failed ||
                            result.result == Result::not_sent;
@@ -326,8 +314,7 @@
     }
   }
   if (result.over || open.over) close_message(item.message);
-  --hosts_.at(host).out;
-  forget_if_gone(host);
+  endpoints_.call_over(host);
 }
 
 // A connection may come up, or be proven, after the message has got its final answer: then it must not go
@@ -338,15 +325,9 @@
   return !copies_ || copies_->copies().may_call(CopyNet::now(), item.payload->id);
 }
 
-void Relay::withhold(std::uint64_t cell) {
-  for (const auto& [id, host] : hosts_) {
-    if (host.cell == cell) withhold_host(id);
-  }
-}
-
 void Relay::listed(const ListUpdate& update) {
   ++counters_.lists;
-  happened(take_list(update));
+  happened(endpoints_.take(update));
 }
 
 // Where the list comes on request, the module asks for it. Where it comes by itself the module never does:
@@ -359,57 +340,10 @@
   }
   watch_timer_.expires_after(kWatchAgain);
   watch_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) discovery_.watch(list_version_);
+    if (!error) discovery_.watch(endpoints_.version());
   });
 }
 
-vetchhinge::HostList Relay::take_list(const ListUpdate& update) {
-  vetchhinge::HostList list;
-  list.kind = update.full ? vetchhinge::HostList::Kind::whole : vetchhinge::HostList::Kind::changes;
-  list_version_ = update.version;
-  std::vector<HostId> were_running, gone;
-  for (auto& [id, host] : hosts_) {
-    if (host.running) were_running.push_back(id);
-    if (update.full) host.running = host.listed = false;  // what a whole list does not name is gone
-  }
-  for (const ListedHost& listed : update.hosts) {
-    const vetchhinge::HostEntry entry = to_entry(listed.host, config_.dialect);
-    list.entries.push_back(entry);
-    if (entry.kind >= config_.settings.kinds.size()) continue;  // as the module does
-    Host& host = hosts_[entry.host];
-    host.running = entry.state == HostState::running;
-    host.listed = entry.state != HostState::gone;
-    if (!host.listed) continue;
-    destinations_.insert(listed.host.cell);
-    host.address = listed.address;
-    host.cell = listed.host.cell;
-    host.zone = listed.host.zone;
-    host.kind = entry.kind;
-    host.weight = listed.host.scale;
-  }
-  for (const HostId id : were_running) {
-    if (!hosts_.at(id).running) withhold_host(id);
-  }
-  for (const auto& [id, host] : hosts_) {
-    if (!host.listed) gone.push_back(id);
-  }
-  for (const HostId id : gone) forget_if_gone(id);
-  list_known_ = list_known_ || !hosts_.empty();
-  return list;
-}
-
-// Hosts are replaced for as long as the relay lives: one that is gone is kept only while a call to it is out.
-void Relay::forget_if_gone(HostId id) {
-  const auto found = hosts_.find(id);
-  if (found == hosts_.end() || found->second.listed) return;
-  host_client_.close_idle(id);
-  if (found->second.out > 0) return;
-  hosts_.erase(found);
-  // What is taken out by hand comes back under its number: the module knows the ban by it.
-  const std::string& name = config_.dialect.hosts.name(static_cast<std::uint32_t>(id));
-  if (!journal_.banned().contains(name)) config_.dialect.hosts.forget(static_cast<std::uint32_t>(id));
-}
-
 // -------------------------------------------------------------------------- the operators' calls
 
 std::string Relay::called(const std::string& line) {
@@ -431,22 +365,20 @@
 
 std::string Relay::take_out(const std::string& host) {
   if (journal_.banned().contains(host)) return "ACK";
-  const auto number = config_.dialect.hosts.find(host);
-  if (!number || !hosts_.contains(HostId(*number))) return "NAK no such endpoint";
+  if (!endpoints_.listed_as(host)) return "NAK no such endpoint";
   journal_.ban(host);
   if (!journal_.flush()) {  // what a restart would forget must not be promised
     journal_.lift(host);
     return "NAK the disk is full";
   }
-  withhold_host(HostId(*number));
+  endpoints_.withhold(endpoints_.number(host));
   tell_by_hand(host, true);
   return "ACK";
 }
 
 std::string Relay::put_back(const std::string& host) {
-  const auto number = config_.dialect.hosts.find(host);
   if (!journal_.banned().contains(host)) {
-    return number && hosts_.contains(HostId(*number)) ? "ACK" : "NAK no such endpoint";
+    return endpoints_.listed_as(host) ? "ACK" : "NAK no such endpoint";
   }
   journal_.lift(host);
   if (!journal_.flush()) {
@@ -454,13 +386,13 @@
     return "NAK the disk is full";
   }
   tell_by_hand(host, false);
-  if (number && !hosts_.contains(HostId(*number))) config_.dialect.hosts.forget(*number);
+  endpoints_.forget_name(host);
   return "ACK";
 }
 
 void Relay::tell_by_hand(const std::string& host, bool out) {
   std::cerr << "myrtlegrade: " << host << (out ? " is out by hand" : " is back by hand") << std::endl;
-  const HostId id{config_.dialect.hosts.number(host)};
+  const HostId id = endpoints_.number(host);
   if (out) host_client_.close_idle(id);
   happened(vetchhinge::ByHand{id, out});
 }
@@ -572,7 +504,7 @@
           } else if constexpr (std::is_same_v<A, vetchhinge::SetTimer>) {
             timers_.emplace(SteadyClock::now() + a.after, a.token);
           } else if constexpr (std::is_same_v<A, vetchhinge::WatchList>) {
-            discovery_.watch(list_version_);
+            discovery_.watch(endpoints_.version());
           } else if constexpr (std::is_same_v<A, vetchhinge::CloseIdle>) {
             host_client_.close_idle(a.host);
           }
@@ -587,7 +519,7 @@
 // Sends of one step to one host travel together, as many as a call there carries.
 void Relay::add_to_call(Calls& calls, const vetchhinge::Send& send) {
   Open& open = open_.at(send.id);
-  const Host& host = hosts_.at(send.host);
+  const Endpoints::Host& host = endpoints_.at(send.host);
   const auto same = [&](const auto& call) { return call.first == send.host; };
   const auto last = std::ranges::find_if(calls.rbegin(), calls.rend(), same);
   const std::size_t most = config_.settings.kinds[host.kind].batch;
@@ -604,11 +536,9 @@
   open.out.push_back({open.attempts, send.host, number, sent, false});
   items->push_back(
       {send.id, open.attempts++, open.payload, send.timeout, send.idle_most, send.prove, send.leave_within});
-  ++hosts_.at(send.host).out;
-  journal_.attempt(open.payload->id,
-                   {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
-  if (copies_)
-    copy_attempt(open, config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone);
+  endpoints_.call_begins(send.host);
+  journal_.attempt(open.payload->id, {endpoints_.name(send.host), host.zone, sent});
+  if (copies_) copy_attempt(open, endpoints_.name(send.host), host.zone);
 }
 
 // A host may keep the time of a call by the message that it names first: its answer counts for none of the
@@ -686,7 +616,7 @@
   host_client_.close_all_idle();
   host_client_.limit(0, config_.sockets);
   Inheritance all;
-  all.list = list_now();
+  all.list = endpoints_.list();
   all.learned = sender_.learned(now());
   all.out = calls_out();
   all.leaving = server_.leaving();
@@ -703,32 +633,13 @@
   std::vector<OutCall> all;
   for (const auto& [id, open] : open_) {
     for (const Out& out : open.out) {
-      all.push_back({open.payload->id, open.cls, open.destination, out.attempt,
-                     config_.dialect.hosts.name(static_cast<std::uint32_t>(out.host)),
-                     hosts_.at(out.host).zone, out.call, out.sent, open.over});
+      all.push_back({open.payload->id, open.cls, open.destination, out.attempt, endpoints_.name(out.host),
+                     endpoints_.at(out.host).zone, out.call, out.sent, open.over});
     }
   }
   return all;
 }
 
-ListUpdate Relay::list_now() const {
-  ListUpdate list;
-  list.version = list_version_;
-  list.full = true;
-  for (const auto& [id, host] : hosts_) {
-    if (!host.listed) continue;
-    vetchhinge::drill::WireHost listed;
-    listed.host = config_.dialect.hosts.name(static_cast<std::uint32_t>(id));
-    listed.kind = config_.dialect.kinds.name(host.kind);
-    listed.zone = host.zone;
-    listed.cell = host.cell;
-    listed.state = host.running ? HostState::running : HostState::draining;
-    listed.scale = host.weight;
-    list.hosts.push_back({std::move(listed), host.address});
-  }
-  return list;
-}
-
 void Relay::reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result) {
   const auto found = ids_.find(id);
   if (found == ids_.end()) return;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -12,13 +12,13 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "config.h"
 #include "copy_net.h"
 #include "counters.h"
 #include "discovery.h"
+#include "endpoints.h"
 #include "frames.h"
 #include "host_client.h"
 #include "journal.h"
@@ -42,10 +42,10 @@
   int listening_descriptor() { return server_.listening_descriptor(); }
 
   // The journal is read back and hosts are known.
-  bool ready() const { return list_known_; }
+  bool ready() const { return endpoints_.known(); }
 
   // The platform's service is elsewhere from now on. All that is open here goes on.
-  void move_discovery(const Endpoint& address) { discovery_.move(address, list_version_); }
+  void move_discovery(const Endpoint& address) { discovery_.move(address, endpoints_.version()); }
 
   // Works on for a short while with what can still be finished, then lets calls out end. `done` is called
   // when the process may go; what is owed then stays in the journal.
@@ -102,29 +102,15 @@
       return cls == m.cls && destination == m.destination && payload->key == m.key && payload->body == m.body;
     }
   };
-  struct Host {
-    Endpoint address;
-    std::uint64_t cell = 0;
-    bool listed = false;
-    bool running = false;
-    std::string zone;
-    std::uint32_t kind = 0;
-    double weight = 1;
-    std::size_t out = 0;         // attempts without an outcome
-    std::uint64_t withheld = 0;  // so often was what is on its way to it called back
-  };
   using Calls = std::vector<std::pair<vetchhinge::HostId, std::vector<CallItem>>>;
 
   void reported(vetchhinge::HostId host, const CallItem& item, const CallResult& result);
   void listed(const ListUpdate& update);
   void watch_lost();
-  vetchhinge::HostList take_list(const ListUpdate& update);
   void take_up(const StoredMessage& stored, const OutCall* out, const std::vector<bool>& astray = {});
   void take_up_out(const OutCall& out);
   vetchhinge::PastAttempt past(Open& open, const OutCall& out);
   std::vector<OutCall> calls_out() const;
-  ListUpdate list_now() const;
-  void forget_if_gone(vetchhinge::HostId host);
 
   std::string take_out(const std::string& host);
   std::string put_back(const std::string& host);
@@ -139,7 +125,6 @@
   void not_sent(const Calls& calls);
   void end_undelivered(vetchhinge::MessageId id, Notice notice);
   void close_message(vetchhinge::MessageId id);
-  void withhold(std::uint64_t cell);
   bool may_leave(const CallItem& item) const;
   void drain_further();
   void log_counters();
@@ -180,7 +165,6 @@
   void give_up(const std::string& id);
   void expired(const valedrum::copies::Expired& expired);
   void settle_pending();
-  void withhold_host(vetchhinge::HostId id);
 
   boost::asio::any_io_executor executor_;
   Config config_;
@@ -195,6 +179,7 @@
   std::shared_ptr<Syncer> syncer_;  // with durability `power`
   vetchhinge::Sender sender_;
   HostClient host_client_;
+  Endpoints endpoints_;
   Discovery discovery_;
   Server server_;
 
@@ -209,12 +194,6 @@
   std::optional<Inheritance> inherited_;  // until it is taken up
   std::optional<Successor> successor_;    // set once this process has given over
 
-  std::unordered_map<vetchhinge::HostId, Host> hosts_;
-  // Ever listed: one whose hosts are all being replaced is still a partner. Partners are few, and stay.
-  std::unordered_set<std::uint64_t> destinations_;
-  std::int64_t list_version_ = 0;
-  bool list_known_ = false;
-
   boost::asio::steady_timer step_timer_;
   std::multimap<std::chrono::steady_clock::time_point, std::uint64_t> timers_;  // asked for by the module
   std::chrono::steady_clock::time_point last_step_{};
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -108,7 +108,7 @@
 
 void Relay::call_when_known(Calls calls) {
   for (auto& [host, items] : calls) {
-    PendingCall call{host, std::move(items), hosts_.at(host).withheld};
+    PendingCall call{host, std::move(items), endpoints_.at(host).withheld};
     if (!syncer_) {
       await_copies(std::move(call));
     } else {
@@ -135,7 +135,7 @@
 
 // What was called back meanwhile, or is for a message that is over, is as one that could not leave.
 void Relay::release(PendingCall call, bool good) {
-  const Host& host = hosts_.at(call.host);
+  const Endpoints::Host& host = endpoints_.at(call.host);
   const bool waited = copies_ || syncer_;
   if (waited && (closing_ || host.withheld != call.withheld)) good = false;
   std::vector<CallItem> go;
@@ -181,11 +181,6 @@
   copies_->turn();
 }
 
-void Relay::withhold_host(HostId id) {
-  ++hosts_.at(id).withheld;
-  host_client_.withhold(id);
-}
-
 // -------------------------------------------------------------------------------------------- events
 
 void Relay::on_copies(const copies::CopyEvent& event) {
