Join the list's table in the relay, and cold budgets that a lone relay can live on

The relay's list is the compact table of catalog/ (relay/endpoints.*), read in pieces.

Seen on joining: Descriptors.IdleClientsKeepItFromNothingWhileDiscoveryIsAway failed, held messages for four hosts that had never answered ran out of their 20 s. Cause: the cold budget's least, half a call from all relays in the rule's time, suits independent relays; a relay alone cannot fall together with others. surely_borne() in src/ramp.cpp follows from the rule instead: mean and two deviations of relays that make one call at most stay under 2 (1 call for one relay, 0.67 for two, 0.54 for many).

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -11,7 +11,8 @@
 #include <utility>
 
 #include "coroutine.h"
-#include "list_reader.h"
+#include "slices.h"
+#include "watch_reader.h"
 
 namespace myrtlegrade {
 
@@ -19,14 +20,21 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 namespace json = boost::json;
+namespace catalog = valedrum::catalog;
 using namespace std::chrono_literals;
 using SteadyClock = std::chrono::steady_clock;
 
 namespace {
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kReadAtOnce = 64 << 10;  // bytes of the watch (ours)
-constexpr std::size_t kMostNotices = 64;       // in one call
+constexpr std::size_t kReadAtOnce = 64 << 10;  // bytes of the watch: they take a millisecond to read (ours)
+constexpr std::chrono::milliseconds kWatchAgain = 200ms;  // the agent that answers is on this machine
+// After lists that can't be used, doubled for each in a row: a long one takes much of a core to read. What
+// was to be told has still to come within 6 s of a watch that broke.
+constexpr std::chrono::milliseconds kWatchAgainMost = 3200ms;
+constexpr int kMostDoublings = 4;
+constexpr std::size_t kMostCleared = 1'000;  // entries of a list of changes whose memory is used again (ours)
+constexpr std::size_t kMostNotices = 64;     // in one call
 constexpr auto kNoticeWithin = 200ms;  // for the answer, which comes at once; a notice that is late is lost
 constexpr auto kRetryFirst = 20ms;
 constexpr auto kRetryMost = 500ms;
@@ -90,7 +98,8 @@
   watch_ = nullptr;
   if (versions_.reopen()) co_return watch_again();
   on_lost_(SteadyClock::now() -
-           std::min(clock.heard(), versions_.behind().value_or(SteadyClock::time_point::max())));
+               std::min(clock.heard(), versions_.behind().value_or(SteadyClock::time_point::max())),
+           std::min(kWatchAgain * (1 << std::min(spoilt_, kMostDoublings)), kWatchAgainMost));
 }
 
 asio::awaitable<void> Discovery::read_changes(Stream connection, WatchClock& clock) {
@@ -109,30 +118,58 @@
   parser.body_limit(boost::none);
   const auto [head_error, head] = co_await http::async_read_header(stream, buffer, parser, kAwait);
   if (head_error || parser.get().result() != http::status::ok) co_return;
-  ListReader reader;
-  while (!parser.is_done()) {
+  // Between two pieces the loop turns to what else there is.
+  catalog::ListReader reader;
+  bool good = true, open = true;
+  while (good && open && !parser.is_done()) {
     stream.expires_at(std::min(clock.deadline(), versions_.deadline()));
     const auto [error, count] = co_await http::async_read_some(stream, buffer, parser, kAwait);
-    if (watch_ != connection) co_return;
-    const std::string bytes = std::exchange(parser.get().body(), {});
-    try {
-      const bool ended = reader.read(bytes, [this](const json::value& text) { take(parse_list(text)); });
-      clock.came(SteadyClock::now(), bytes.size(), ended);
-    } catch (const std::exception& e) {
-      std::cerr << "discovery: a list of the watch can't be read: " << e.what() << '\n';
-      co_return;  // the list held may lack what it said
+    if (watch_ != connection) break;
+    const std::string piece = std::exchange(parser.get().body(), {});
+    bool ended = false;
+    good = co_await take(reader, piece, connection, ended);
+    clock.came(SteadyClock::now(), piece.size(), ended);
+    open = !error;
+  }
+  if (reader.entries().size() == 0) co_return;
+  if (good && reader.status() == catalog::ListReader::Status::more) {
+    ++spoilt_;
+    std::cerr << "discovery: a list of the watch was cut after byte " << reader.taken() << '\n';
+  }
+  give_back(executor_, reader.take_entries());
+}
+
+// False: the list held may lack what one said that can't be read, or another watch counts by now.
+asio::awaitable<bool> Discovery::take(catalog::ListReader& reader, std::string_view bytes, Stream connection,
+                                      bool& ended) {
+  while (!bytes.empty()) {
+    const auto status = read_watch(reader, bytes, ended);
+    if (status == catalog::ListReader::Status::bad) {
+      ++spoilt_;
+      std::cerr << "discovery: a list of the watch can't be read: " << reader.error() << '\n';
+      co_return false;
+    }
+    if (status == catalog::ListReader::Status::more) continue;
+    spoilt_ = 0;
+    if (may_take(reader.version())) {
+      for (bool more = on_list_(reader, true); more; more = on_list_(reader, false)) {
+        co_await asio::post(executor_, asio::use_awaitable);
+        if (watch_ != connection) co_return false;
+      }
     }
-    if (error) co_return;
+    if (reader.entries().size() > kMostCleared) give_back(executor_, reader.take_entries());
+    reader.next();
   }
+  co_return true;
 }
 
-void Discovery::take(const ListUpdate& update) {
+bool Discovery::may_take(std::int64_t version) {
   const bool was_behind = versions_.behind().has_value();
-  if (versions_.take(SteadyClock::now(), update.version)) return on_list_(update);
+  if (versions_.take(SteadyClock::now(), version)) return true;
   if (!was_behind) {
-    std::cerr << "discovery: a list of version " << update.version << " is older than the one held"
-              << std::endl;
+    std::cerr << "discovery: a list of version " << version << " is older than the one held" << std::endl;
   }
+  return false;
 }
 
 void Discovery::send(Notice notice) {
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -11,8 +11,10 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
+#include "catalog/list_reader.h"
 #include "host_list.h"
 #include "journal.h"
 #include "watch_clock.h"
@@ -21,9 +23,12 @@
 
 class Discovery {
  public:
-  using OnList = std::function<void(const ListUpdate&)>;
+  // Of a reader that is whole, whose entries may be taken from it. Called again, in the next turn of the
+  // loop, where it returns true: there is more of it to take.
+  using OnList = std::function<bool(valedrum::catalog::ListReader&, bool first)>;
+  // It had been silent so long, and may be opened again after so long.
   using OnLost =
-      std::function<void(std::chrono::steady_clock::duration silent)>;  // it had been silent so long
+      std::function<void(std::chrono::steady_clock::duration silent, std::chrono::milliseconds again)>;
   using OnSettled = std::function<void(const std::string& message)>;
 
   Discovery(boost::asio::any_io_executor executor, Endpoint address, OnList on_list, OnLost on_lost,
@@ -49,7 +54,9 @@
   void watch_again();
   boost::asio::awaitable<void> run_watch(Stream stream);
   boost::asio::awaitable<void> read_changes(Stream stream, WatchClock& clock);
-  void take(const ListUpdate& update);
+  boost::asio::awaitable<bool> take(valedrum::catalog::ListReader& reader, std::string_view bytes,
+                                    Stream connection, bool& ended);
+  bool may_take(std::int64_t version);
   boost::asio::awaitable<void> run_notices();
 
   boost::asio::any_io_executor executor_;
@@ -57,8 +64,9 @@
   OnList on_list_;
   OnLost on_lost_;
   OnSettled on_settled_;
-  Stream watch_;  // the connection of the watch that counts; none: not watching
+  int spoilt_ = 0;  // lists in a row that were cut or can't be read
   ListVersions versions_;
+  Stream watch_;    // the connection of the watch that counts; none: not watching
   Stream reports_;  // the connection that notices go out on, kept between them
   bool sending_ = false;
   std::deque<Notice> notices_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "admin_server.h"
+#include "slices.h"
 
 namespace myrtlegrade {
 
@@ -38,8 +39,6 @@
 constexpr auto kGoneAfter = 3200ms;   // the same where a new process serves meanwhile
 constexpr auto kDrainLook = 20ms;
 
-constexpr auto kWatchAgain = 200ms;  // the agent that answers is on this machine
-
 constexpr auto kLogEvery = 5s;  // one line at most
 
 std::size_t part_of(std::size_t descriptors, double share) {
@@ -68,9 +67,13 @@
                    [this](HostId host, const CallItem& item, const CallResult& result) {
                      reported(host, item, result);
                    }),
+      endpoints_(config_.dialect, config_.settings, journal_, host_client_),
       discovery_(
-          executor, config_.discovery, [this](const ListUpdate& update) { listed(update); },
-          [this](SteadyClock::duration silent) { watch_lost(silent); },
+          executor, config_.discovery,
+          [this](valedrum::catalog::ListReader& list, bool first) { return listed(list, first); },
+          [this](SteadyClock::duration silent, std::chrono::milliseconds again) {
+            watch_lost(silent, again);
+          },
           [this](const std::string& message) { notice_settled(message); }),
       server_(
           executor, std::move(listening), part_of(config_.sockets, kClientShare), [this] { return ready(); },
@@ -92,18 +95,23 @@
 }
 
 void Relay::start() {
-  const auto inherited = std::exchange(inherited_, std::nullopt);
-  vetchhinge::HostList cached = take_list(inherited ? inherited->list : config_.known);
-  cached.kind = vetchhinge::HostList::Kind::cached;
+  auto inherited = std::exchange(inherited_, std::nullopt);
+  WholeList& list = inherited ? inherited->list : *config_.known;
+  endpoints_.take_whole(list.version, std::move(list.entries), vetchhinge::HostList::Kind::cached, events_);
+  if (inherited) give_back(executor_, std::move(config_.known->entries));
+  config_.known.reset();
   if (inherited) {
+    for (const vetchhinge::LaneLearned& lane : inherited->learned.lanes) endpoints_.wake(lane.host, events_);
+    for (const vetchhinge::HostLearned& host : inherited->learned.hosts) endpoints_.wake(host.host, events_);
     // The module gets to know a host when it hears that it runs: also one that drains by now, for what was
     // learned there, as a told wait, binds towards all of its destination.
-    vetchhinge::HostList once = cached;
-    for (vetchhinge::HostEntry& entry : once.entries) entry.state = HostState::running;
-    events_.emplace_back(std::move(once));
+    for (std::size_t n = events_.size(); n > 0; --n) {
+      auto once = std::get<vetchhinge::HostList>(events_[n - 1]);
+      for (vetchhinge::HostEntry& entry : once.entries) entry.state = HostState::running;
+      events_.insert(events_.begin() + static_cast<std::ptrdiff_t>(n - 1), std::move(once));
+    }
+    events_.emplace_back(inherited->learned);
   }
-  events_.emplace_back(std::move(cached));
-  if (inherited) events_.emplace_back(inherited->learned);
   for (const std::string& host : journal_.banned()) tell_by_hand(host, true);
   for (Notice& notice : journal_.take_notices()) {
     // Whether others know that it goes back to its client is not known: its failure does no harm to what they
@@ -134,7 +142,7 @@
   step();
   if (copies_) copies_->start();
   server_.start();
-  if (!config_.settings.list_on_request) discovery_.watch(list_version_);
+  if (!config_.settings.list_on_request) discovery_.watch(endpoints_.version());
   keep_log();
 }
 
@@ -171,7 +179,7 @@
     return;
   }
   if (copied_elsewhere(message, respond)) return;
-  if (!destinations_.contains(message.destination)) {
+  if (!endpoints_.is_destination(message.destination)) {
     return respond({Answer::Kind::unknown_destination, whole_ms(config_.settings.max_wait_hint)});
   }
   const bool full = held_ >= config_.settings.max_open ||
@@ -194,6 +202,7 @@
   open_.emplace(id, std::move(open));
   ++held_;
   arrivals_.push_back(id);
+  endpoints_.wake(message.destination, events_);
   happened(vetchhinge::Message{id, *cls, destination, now() + message.time_left, {}, {}, {}});
 }
 
@@ -226,6 +235,7 @@
     message.past.back().astray = n < astray.size() && astray[n];
   }
   message.recovered = true;
+  endpoints_.wake(stored.destination, events_);
   if (out && out->attempt < message.past.size()) {
     vetchhinge::PastAttempt& at = message.past[out->attempt];
     at = past(open_.at(id), *out, at.sent);
@@ -245,6 +255,7 @@
   open.attempts = out.attempt + 1;
   open.over = true;
   ids_.emplace(out.message, id);
+  endpoints_.wake(out.destination, events_);
   vetchhinge::Message message{id, *cls, vetchhinge::DestinationId(out.destination), now(), {}, {}, {}};
   message.past.resize(out.attempt);  // that never ran, for all that it matters now
   message.past.push_back(past(open, out, sent_at({out.sent}, read_clocks())));
@@ -252,13 +263,7 @@
 }
 
 vetchhinge::PastAttempt Relay::past(Open& open, const OutCall& out, vetchhinge::Time sent) {
-  const HostId id{config_.dialect.hosts.number(out.host)};
-  const auto [host, added] = hosts_.try_emplace(id);
-  if (added) {  // gone from the list meanwhile
-    host->second.cell = out.destination;
-    host->second.zone = out.zone;
-  }
-  ++host->second.out;
+  const HostId id = endpoints_.call_elsewhere(out.host, out.destination, out.zone);
   open.out.push_back({out.attempt, id, out.call, out.sent, true});
   const vetchhinge::ZoneId zone{config_.dialect.zones.number(out.zone)};
   return {zone, sent, true, true, id, out.call};
@@ -295,14 +300,7 @@
   outcome.connection = result.connection;
   happened(outcome);
   // A wait binds from the answer's arrival, not from the next step: what still connects must not go out.
-  if (result.wait > 0us) {
-    const Host& told = hosts_.at(host);
-    if (config_.settings.kinds[told.kind].routes_apart) {
-      withhold_host(host);
-    } else {
-      withhold(told.cell);
-    }
-  }
+  if (result.wait > 0us) endpoints_.withhold_told(host);
   if (!open.over) {
     const bool never_ran = result.result == Result::full || result.result == Result::connect_failed ||
                            result.result == Result::not_sent;
@@ -324,8 +322,7 @@
     }
   }
   if (result.over || open.over) close_message(item.message);
-  --hosts_.at(host).out;
-  forget_if_gone(host);
+  endpoints_.call_over(host);
 }
 
 // A connection may come up, or be proven, after the message has got its final answer: then it must not go
@@ -336,79 +333,38 @@
   return !copies_ || copies_->copies().may_call(CopyNet::now(), item.payload->id);
 }
 
-void Relay::withhold(std::uint64_t cell) {
-  for (const auto& [id, host] : hosts_) {
-    if (host.cell == cell) withhold_host(id);
+bool Relay::listed(valedrum::catalog::ListReader& list, bool first) {
+  if (first) ++counters_.lists;
+  bool more = false;
+  if (list.full()) {
+    endpoints_.take_whole(list.version(), list.take_entries(), vetchhinge::HostList::Kind::whole, events_);
+    tidy_list();
+  } else {
+    more = endpoints_.take_changes(list.version(), list.entries(), first, events_);
   }
+  schedule();
+  return more;
 }
 
-void Relay::listed(const ListUpdate& update) {
-  ++counters_.lists;
-  happened(take_list(update));
+void Relay::tidy_list() {
+  run_in_slices(executor_, [this] { return endpoints_.tidy(); });
 }
 
 // Where the list comes on request, the module asks for it. Where it comes by itself the module never does:
 // on sockets too it comes through a watch, which is the relay's to keep open.
-void Relay::watch_lost(SteadyClock::duration silent) {
+void Relay::watch_lost(SteadyClock::duration silent, std::chrono::milliseconds again) {
   ++counters_.lists_lost;
   if (config_.settings.list_on_request) {
     happened(vetchhinge::HostList{
         vetchhinge::HostList::Kind::lost, {}, std::chrono::duration_cast<Duration>(silent)});
     return;
   }
-  watch_timer_.expires_after(kWatchAgain);
+  watch_timer_.expires_after(again);
   watch_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) discovery_.watch(list_version_);
+    if (!error) discovery_.watch(endpoints_.version());
   });
 }
 
-vetchhinge::HostList Relay::take_list(const ListUpdate& update) {
-  vetchhinge::HostList list;
-  list.kind = update.full ? vetchhinge::HostList::Kind::whole : vetchhinge::HostList::Kind::changes;
-  list_version_ = update.version;
-  std::vector<HostId> were_running, gone;
-  for (auto& [id, host] : hosts_) {
-    if (host.running) were_running.push_back(id);
-    if (update.full) host.running = host.listed = false;  // what a whole list does not name is gone
-  }
-  for (const ListedHost& listed : update.hosts) {
-    const vetchhinge::HostEntry entry = to_entry(listed.host, config_.dialect);
-    list.entries.push_back(entry);
-    if (entry.kind >= config_.settings.kinds.size()) continue;  // as the module does
-    Host& host = hosts_[entry.host];
-    host.running = entry.state == HostState::running;
-    host.listed = entry.state != HostState::gone;
-    if (!host.listed) continue;
-    destinations_.insert(listed.host.cell);
-    host.address = listed.address;
-    host.cell = listed.host.cell;
-    host.zone = listed.host.zone;
-    host.kind = entry.kind;
-    host.weight = listed.host.scale;
-  }
-  for (const HostId id : were_running) {
-    if (!hosts_.at(id).running) withhold_host(id);
-  }
-  for (const auto& [id, host] : hosts_) {
-    if (!host.listed) gone.push_back(id);
-  }
-  for (const HostId id : gone) forget_if_gone(id);
-  list_known_ = list_known_ || !hosts_.empty();
-  return list;
-}
-
-// Hosts are replaced for as long as the relay lives: one that is gone is kept only while a call to it is out.
-void Relay::forget_if_gone(HostId id) {
-  const auto found = hosts_.find(id);
-  if (found == hosts_.end() || found->second.listed) return;
-  host_client_.close_idle(id);
-  if (found->second.out > 0) return;
-  hosts_.erase(found);
-  // What is taken out by hand comes back under its number: the module knows the ban by it.
-  const std::string& name = config_.dialect.hosts.name(static_cast<std::uint32_t>(id));
-  if (!journal_.banned().contains(name)) config_.dialect.hosts.forget(static_cast<std::uint32_t>(id));
-}
-
 // -------------------------------------------------------------------------- the operators' calls
 
 std::string Relay::called(const std::string& line) {
@@ -430,22 +386,20 @@
 
 std::string Relay::take_out(const std::string& host) {
   if (journal_.banned().contains(host)) return "ACK";
-  const auto number = config_.dialect.hosts.find(host);
-  if (!number || !hosts_.contains(HostId(*number))) return "NAK no such endpoint";
+  if (!endpoints_.is_known(host)) return "NAK no such endpoint";
   journal_.ban(host);
   if (!journal_.flush()) {  // what a restart would forget must not be promised
     journal_.lift(host);
     return "NAK the disk is full";
   }
-  withhold_host(HostId(*number));
+  endpoints_.withhold(endpoints_.number(host));
   tell_by_hand(host, true);
   return "ACK";
 }
 
 std::string Relay::put_back(const std::string& host) {
-  const auto number = config_.dialect.hosts.find(host);
   if (!journal_.banned().contains(host)) {
-    return number && hosts_.contains(HostId(*number)) ? "ACK" : "NAK no such endpoint";
+    return endpoints_.is_known(host) ? "ACK" : "NAK no such endpoint";
   }
   journal_.lift(host);
   if (!journal_.flush()) {
@@ -453,13 +407,13 @@
     return "NAK the disk is full";
   }
   tell_by_hand(host, false);
-  if (number && !hosts_.contains(HostId(*number))) config_.dialect.hosts.forget(*number);
+  endpoints_.forget_name(host);
   return "ACK";
 }
 
 void Relay::tell_by_hand(const std::string& host, bool out) {
   std::cerr << "myrtlegrade: " << host << (out ? " is out by hand" : " is back by hand") << std::endl;
-  const HostId id{config_.dialect.hosts.number(host)};
+  const HostId id = endpoints_.number(host);
   if (out) host_client_.close_idle(id);
   happened(vetchhinge::ByHand{id, out});
 }
@@ -571,9 +525,11 @@
           } else if constexpr (std::is_same_v<A, vetchhinge::SetTimer>) {
             timers_.emplace(SteadyClock::now() + a.after, a.token);
           } else if constexpr (std::is_same_v<A, vetchhinge::WatchList>) {
-            discovery_.watch(list_version_);
+            discovery_.watch(endpoints_.version());
           } else if constexpr (std::is_same_v<A, vetchhinge::CloseIdle>) {
             host_client_.close_idle(a.host);
+          } else if constexpr (std::is_same_v<A, vetchhinge::PutAway>) {
+            endpoints_.put_away(static_cast<std::uint64_t>(a.destination));
           }
         },
         action);
@@ -586,7 +542,7 @@
 // Sends of one step to one host travel together, as many as a call there carries.
 void Relay::add_to_call(Calls& calls, const vetchhinge::Send& send) {
   Open& open = open_.at(send.id);
-  const Host& host = hosts_.at(send.host);
+  const Endpoints::Host& host = endpoints_.at(send.host);
   const auto same = [&](const auto& call) { return call.first == send.host; };
   const auto last = std::ranges::find_if(calls.rbegin(), calls.rend(), same);
   const std::size_t most = config_.settings.kinds[host.kind].batch;
@@ -604,11 +560,9 @@
   open.out.push_back({open.attempts, send.host, number, sent.wall, false});
   items->push_back({send.id, open.attempts++, open.payload, decided + send.timeout, send.idle_most,
                     send.prove, send.leave_by});
-  ++hosts_.at(send.host).out;
-  journal_.attempt(open.payload->id,
-                   {config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone, sent});
-  if (copies_)
-    copy_attempt(open, config_.dialect.hosts.name(static_cast<std::uint32_t>(send.host)), host.zone);
+  endpoints_.call_begins(send.host);
+  journal_.attempt(open.payload->id, {endpoints_.name(send.host), host.zone, sent});
+  if (copies_) copy_attempt(open, endpoints_.name(send.host), host.zone);
 }
 
 // A host may keep the time of a call by the message that it names first: its answer counts for none of the
@@ -686,7 +640,7 @@
   host_client_.close_all_idle();
   host_client_.limit(0, config_.sockets);
   Inheritance all;
-  all.list = list_now();
+  all.list.version = endpoints_.version();
   all.learned = sender_.learned(now());
   all.out = calls_out();
   all.leaving = server_.leaving();
@@ -696,39 +650,20 @@
   drained_ = std::move(done);
   draining_since_ = SteadyClock::now();
   drain_further();
-  return write(all, config_.dialect.hosts);
+  return write(all, endpoints_.list(), config_.dialect.hosts);
 }
 
 std::vector<OutCall> Relay::calls_out() const {
   std::vector<OutCall> all;
   for (const auto& [id, open] : open_) {
     for (const Out& out : open.out) {
-      all.push_back({open.payload->id, open.cls, open.destination, out.attempt,
-                     config_.dialect.hosts.name(static_cast<std::uint32_t>(out.host)),
-                     hosts_.at(out.host).zone, out.call, out.sent, open.over});
+      all.push_back({open.payload->id, open.cls, open.destination, out.attempt, endpoints_.name(out.host),
+                     endpoints_.at(out.host).zone, out.call, out.sent, open.over});
     }
   }
   return all;
 }
 
-ListUpdate Relay::list_now() const {
-  ListUpdate list;
-  list.version = list_version_;
-  list.full = true;
-  for (const auto& [id, host] : hosts_) {
-    if (!host.listed) continue;
-    vetchhinge::drill::WireHost listed;
-    listed.host = config_.dialect.hosts.name(static_cast<std::uint32_t>(id));
-    listed.kind = config_.dialect.kinds.name(host.kind);
-    listed.zone = host.zone;
-    listed.cell = host.cell;
-    listed.state = host.running ? HostState::running : HostState::draining;
-    listed.scale = host.weight;
-    list.hosts.push_back({std::move(listed), host.address});
-  }
-  return list;
-}
-
 void Relay::reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result) {
   const auto found = ids_.find(id);
   if (found == ids_.end()) return;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -81,8 +81,7 @@
 constexpr Duration kShutSpan = 2500ms;  // see above; longer than a limit's usual span (ours)
 constexpr double kJitter = 0.25;        // spread of pauses, both ways (ours)
 constexpr double kArrivalShare = 0.7;   // of what arrives, where few calls have been accepted yet (ours)
-constexpr double kOwnLeast = 0.5;    // calls of all relays in the time of the rule, as it starts cold (ours)
-constexpr double kAgainShare = 0.4;  // of such a pause, rest of a message after a failed attempt (ours)
+constexpr double kAgainShare = 0.4;     // of such a pause, rest of a message after a failed attempt (ours)
 constexpr Duration kWindowMargin = 100ms;  // a key's window is held to end so much earlier (ours)
 
 // Expiry, timers
@@ -762,8 +761,8 @@
     const double asked = kArrivalShare * destinations_[l.destination].arrivals.per_second(now_, kRateLeast);
     const double usual = std::max(l.usual_before, l.usual_calls.per_second(now_, kRateLeast));
     const double known = usual * seconds(kUsualMemory);
-    const double least = kOwnLeast / (s_.overload_factor * s_.start_capacity * s_.relays *
-                                      std::max(seconds(s_.overload_for), seconds(kHeartbeat)));
+    const double least = surely_borne(s_) / (s_.overload_factor * s_.start_capacity * s_.relays *
+                                             std::max(seconds(s_.overload_for), seconds(kHeartbeat)));
     return std::max(least, (known * usual + asked) / (known + 1));
   }
 
--- a/src/ramp.cpp
+++ b/src/ramp.cpp
@@ -1,6 +1,7 @@
 #include "ramp.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "spans.h"
 
@@ -87,6 +88,11 @@
       rate == kLimitMost ? 1 : std::min(l.pace_budget + rate * passed, std::max(1.0, rate * kBurstSpan));
 }
 
+double surely_borne(const Settings& s) {
+  const double each = 4.0 / s.relays;
+  return each >= 3 ? 1 : (4 - 2 * std::sqrt(3 - each)) / (1 + each);
+}
+
 void refill_budget(Host& h, const Lane& l, double own_rate, const Settings& s, Time now) {
   const double passed = seconds(now - std::max(h.budget_at, l.wait_until));
   h.budget_at = now;
--- a/src/ramp.h
+++ b/src/ramp.h
@@ -29,6 +29,11 @@
 
 void refill_pace(Lane& l, const Settings& s, Time now);
 
+// Calls of all relays together, in the time that the rule on cold destinations names, that push none over,
+// however little it takes: that needs more than N + 2 root N + 2, with N down to 0. Each relay makes one at
+// most in that time, at a moment of its own: their mean and two standard deviations stay under 2.
+double surely_borne(const Settings& s);
+
 // A returning host gets what the settings say it can surely take, in terms of what it took before: its usual
 // rate is under its capacity, so that rate's share at start, grown to the whole over the warm-up, stays under
 // what it can do at that moment, however many relays do the same; so does an even part of the limit that was
--- a/tests/catalog_reader_test.cpp
+++ b/tests/catalog_reader_test.cpp
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "catalog/list_reader.h"
-#include "host_list.h"
+#include "landed_list.h"
 
 namespace {
 
