--- a/lab/list/probe.py
+++ b/lab/list/probe.py
@@ -1,5 +1,10 @@
 #!/usr/bin/env python3
-"""Measures one relay given N endpoints of as many destinations. probe.py PROGRAM N MODE OUT.json"""
+"""Measures one real relay given N endpoints of as many destinations.
+
+probe.py PROGRAM N push|known OUT.json: push, the list comes by the watch; known, it is in the configuration.
+In the result, `change_ms_alone` is the processor time of a change with its step, `loop` the answers of the
+second address, seen from outside, `client` those to hand-ins. It ends itself after PROBE_LIMIT seconds (120).
+"""
 import sys, os, json, socket, threading, time, subprocess, tempfile, statistics, signal, http.client
 prog, N, mode, out = sys.argv[1], int(sys.argv[2]), sys.argv[3], sys.argv[4]
 LABEL = sys.argv[5] if len(sys.argv) > 5 else prog
