Let pauses go by the own rate again, and bound probes of open circuits by the cold budget alone

Cause: own_rate() had become the surer rate, whose least is a third of the former, and all pauses after failures and refusals went by it too; and an open circuit waited for its pause and its budget, which say the same. Now pauses go by own_rate() as before, budgets by sure_rate(), and the pause of an open circuit is 500 ms.

Found beside it: a host whose warm-up was over while nothing was sent was held back once more, for its budget had not been filled (host_has_room()); one of 800 series of the working set's comparison showed it.

--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -59,7 +59,7 @@
   std::uint32_t slots = 1;     // calls out at once
   std::uint32_t max_open = 1;  // messages held, sent or not
   std::uint32_t max_attempts = 1;
-  std::uint32_t relays = 1;      // that call the same destinations, this one among them
+  std::uint32_t relays = 1;  // that call the same destinations, this one among them
   // Destinations of which the module keeps hosts and what it learned; 0: of all. It keeps more where none of
   // them may be put away.
   std::uint32_t most_destinations = 0;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -63,9 +63,7 @@
 constexpr int kOpenAfter = 4;              // weight of failures in a row that opens a host's circuit (ours)
 constexpr int kFailed = 2;                 // weight of one (ours)
 constexpr int kBroken = 1;                 // and of a call that broke: connections break by chance too (ours)
-constexpr Duration kProbeFirst = 500ms;    // least pause of an open circuit (ours)
-constexpr double kProbeShare = 0.6;        // share of the time between calls on a cold budget (ours)
-constexpr double kProbeMost = 4.0;         // longest, multiple of overload_for (ours)
+constexpr Duration kProbeFirst = 500ms;    // pause of an open circuit (ours)
 constexpr double kProbeJitter = 0.9;       // spread of these pauses, both ways (ours)
 constexpr double kStallP95 = 3.0;          // a call out for this multiple of p95 is overdue (ours)
 constexpr double kStallAim = 0.3;          // and at least this share of the aim (ours)
@@ -81,7 +79,8 @@
 constexpr Duration kShutSpan = 2500ms;  // see above; longer than a limit's usual span (ours)
 constexpr double kJitter = 0.25;        // spread of pauses, both ways (ours)
 constexpr double kArrivalShare = 0.7;   // of what arrives, where few calls have been accepted yet (ours)
-constexpr double kAgainShare = 0.4;     // of such a pause, rest of a message after a failed attempt (ours)
+constexpr double kOwnLeast = 3.0;    // calls a second of all relays; an own rate is at least its part (ours)
+constexpr double kAgainShare = 0.4;  // of such a pause, rest of a message after a failed attempt (ours)
 constexpr Duration kWindowMargin = 100ms;  // a key's window is held to end so much earlier (ours)
 
 // Expiry, timers
@@ -498,8 +497,8 @@
     const bool open = h.failures >= kOpenAfter;  // circuit half-open: one call
     if (open ? h.in_flight > 0 || now_ < h.retry_at : stalled(h)) return false;
     if (!h.cold) return true;
-    refill_budget(h, lanes_[h.lane], own_rate(lanes_[h.lane]), s_, now_);
-    return h.budget >= 1;
+    refill_budget(h, lanes_[h.lane], sure_rate(lanes_[h.lane]), s_, now_);
+    return !h.cold || h.budget >= 1;
   }
 
   // Stall guard: what never answers has no latency to rise. While a call is overdue and nothing sent since
@@ -704,10 +703,7 @@
       l.failures += weight;
       l.failed_at = now_;
     }
-    // As often as the cold budget allows: probes of all relays together then stay under it when it returns.
-    const double between = kProbeShare / (s_.overload_factor * s_.start_capacity * own_rate(l));
-    const Duration most = span(std::min(between, kProbeMost * seconds(s_.overload_for)));
-    const Duration pause = scaled(std::max(kProbeFirst, most), jitter(kProbeJitter));
+    const Duration pause = scaled(kProbeFirst, jitter(kProbeJitter));  // the cold budget bounds the sum
     if (l.failures >= kOpenAfter) {
       for (const std::size_t other : l.hosts) outage_seen(hosts_[other]);
       l.pause_until = std::max(l.pause_until, now_ + pause);
@@ -754,16 +750,23 @@
     }
   }
 
-  // What this relay used to send there, the surer the more calls tell of it, or is asked to. A destination
-  // sees the sum over all relays: budgets in proportion to it keep that sum in bounds, however many there
-  // are.
+  // What this relay used to send there, or is asked to: pauses go by it.
   double own_rate(Lane& l) {
-    const double asked = kArrivalShare * destinations_[l.destination].arrivals.per_second(now_, kRateLeast);
+    return std::max(
+        {l.usual_before, l.usual_calls.per_second(now_, kRateLeast), asked(l), kOwnLeast / s_.relays});
+  }
+
+  double asked(const Lane& l) {
+    return kArrivalShare * destinations_[l.destination].arrivals.per_second(now_, kRateLeast);
+  }
+
+  // The same, the surer the more calls tell of it: cold budgets in proportion to it bound the relays' sum.
+  double sure_rate(Lane& l) {
     const double usual = std::max(l.usual_before, l.usual_calls.per_second(now_, kRateLeast));
     const double known = usual * seconds(kUsualMemory);
     const double least = surely_borne(s_) / (s_.overload_factor * s_.start_capacity * s_.relays *
                                              std::max(seconds(s_.overload_for), seconds(kHeartbeat)));
-    return std::max(least, (known * usual + asked) / (known + 1));
+    return std::max(least, (known * usual + asked(l)) / (known + 1));
   }
 
   Duration backoff(Lane& l) {
