--- a/lab/soak/shim.cpp
+++ b/lab/soak/shim.cpp
@@ -6,6 +6,8 @@
 //   SOAK_CLOCK     "AT:STEP": from AT milliseconds on CLOCK_REALTIME is STEP milliseconds off
 //   SOAK_CALLS     "FROM:UNTIL:SHARE": share of socket calls and waits that fail, are short or interrupted
 //   SOAK_FOLDER    "FROM:UNTIL:SHARE": share of writes, truncations, renames and syncs of files that fail
+//   SOAK_CLOSE_MS  each close of an internet socket comes so much later: the process is held up just before
+//   it
 #include <dlfcn.h>
 #include <errno.h>
 #include <stdio.h>
@@ -33,6 +35,7 @@
   long begin_ms = 0;
   long step_at = 0, step_ms = 0;
   Span calls, folder;
+  long close_ms = 0;
 };
 
 template <typename Function>
@@ -55,6 +58,7 @@
     if (const char* clock = getenv("SOAK_CLOCK")) sscanf(clock, "%ld:%ld", &p.step_at, &p.step_ms);
     p.calls = read_span("SOAK_CALLS");
     p.folder = read_span("SOAK_FOLDER");
+    if (const char* delay = getenv("SOAK_CLOSE_MS")) p.close_ms = strtol(delay, nullptr, 10);
     return p;
   }();
   return read;
@@ -117,6 +121,18 @@
   return fstat(file, &kind) == 0 && S_ISREG(kind.st_mode);
 }
 
+bool is_internet_socket(int file) {
+  int domain = 0;
+  socklen_t size = sizeof domain;
+  return getsockopt(file, SOL_SOCKET, SO_DOMAIN, &domain, &size) == 0 && domain == AF_INET;
+}
+
+void hold_up(long milliseconds) {
+  timespec left{milliseconds / 1000, milliseconds % 1000 * 1'000'000};
+  while (nanosleep(&left, &left) != 0) {
+  }
+}
+
 constexpr int kFolderErrors[] = {ENOSPC, EIO};
 
 // One call of a stream with a message header; a short one carries a single byte.
@@ -212,6 +228,12 @@
   return fail_with(kFolderErrors);
 }
 
+int close(int file) {
+  static const auto call = real<int (*)(int)>("close");
+  if (plan().close_ms > 0 && is_internet_socket(file)) hold_up(plan().close_ms);
+  return call(file);
+}
+
 int ftruncate(int file, off_t size) {
   static const auto call = real<int (*)(int, off_t)>("ftruncate");
   return happens(plan().folder) ? fail_with(kFolderErrors) : call(file, size);
--- /dev/null
+++ b/tests/handover_test.cpp
@@ -0,0 +1,143 @@
+// Calls that outlive the process that made them: nobody may repeat their messages while their connections are
+// open, whichever of the relay's processes has taken over, died, or been held up meanwhile.
+#include <sys/socket.h>
+
+#include "upgrade_fixture.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+class HandoverTest : public UpgradeTest {
+ protected:
+  // An endpoint that answers nothing until `released_`, and sees whether a message comes again while an
+  // earlier call with it is open.
+  void add_silent_host(const std::string& id, int cell, const std::string& kind) {
+    add_host(id, cell, kind, [this](tcp::socket& socket, Request& request) { return hold(socket, request); });
+  }
+
+  bool hold(tcp::socket& socket, Request& request) {
+    const int file = socket.native_handle();
+    const std::vector<std::string> ids = messages_of(request);
+    watched_.change([&] {
+      for (const std::string& id : ids) arrived(id, file);
+    });
+    while (!watched_.read([this] { return over_ || released_; }) && is_open(file)) {
+      std::this_thread::sleep_for(2ms);
+    }
+    watched_.change([&] {
+      for (const std::string& id : ids) std::erase(open_calls_[id], file);
+    });
+    return is_open(file) && kAccept(socket, request);
+  }
+
+  void arrived(const std::string& id, int file) {
+    std::vector<int>& files = open_calls_[id];
+    if (std::ranges::any_of(files, is_open)) second_copies_.push_back(id);
+    files.push_back(file);
+  }
+
+  static bool is_open(int file) {
+    char byte = 0;
+    const ssize_t size = ::recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size > 0 || (size < 0 && errno == EAGAIN);
+  }
+
+  static std::vector<std::string> messages_of(const Request& request) {
+    if (request.target() == "/inbox") return {std::string(request["X-Request-ID"])};
+    std::vector<std::string> ids;
+    const json::value entries = json::parse(request.body());
+    for (const json::value& entry : entries.as_array()) ids.emplace_back(entry.at("id").as_string());
+    return ids;
+  }
+
+  // Time-outs follow the aims: that of `note` once, that of `refund` twice.
+  static json::object with_aims(json::object config, double note_ms, double refund_ms) {
+    json::array& classes = config["settings"].as_object()["classes"].as_array();
+    for (json::value& cls : classes) {
+      cls.as_object()["aim"] = cls.at("name").as_string() == "refund" ? refund_ms : note_ms;
+    }
+    return config;
+  }
+
+  void start_old(double note_ms, double refund_ms) {
+    note_ms_ = note_ms;
+    refund_ms_ = refund_ms;
+    start(with_aims(with_second_address(), note_ms, refund_ms));
+  }
+
+  void start_next(std::optional<Process>& process) {
+    const fs::path file = folder_ / "next.json";
+    json::object changed = with_aims(with_second_address(), note_ms_, refund_ms_);
+    changed["listen"] = address_;
+    std::ofstream(file) << json::serialize(changed);
+    process.emplace(PROGRAM, std::map<std::string, std::string>{{"PROXY_CONFIG", file},
+                                                                {"PROXY_STATE", folder_ / "state"}});
+  }
+
+  // A process that stands by takes over from one that is told to end.
+  void upgrade(std::optional<Process>& from, std::optional<Process>& to) {
+    start_next(to);
+    ASSERT_TRUE(wait_healthy(to));
+    from->signal(SIGTERM);
+    ASSERT_TRUE(wait_log(to, "took over"));
+  }
+
+  static bool wait_log(const std::optional<Process>& process, const std::string& text) {
+    const auto until = SteadyClock::now() + 10s;
+    while (process->log_with_start().find(text) == std::string::npos) {
+      if (SteadyClock::now() > until) return false;
+      std::this_thread::sleep_for(2ms);
+    }
+    return true;
+  }
+
+  std::vector<std::string> second_copies() {
+    return watched_.read([this] { return second_copies_; });
+  }
+
+  // After all earlier calls have ended the message is still owed, and comes once more.
+  void expect_repeated_later(const std::string& id) {
+    EXPECT_TRUE(wait_seen(id, 2)) << "the message is still owed";
+    EXPECT_EQ(second_copies(), std::vector<std::string>{});
+  }
+
+  double note_ms_ = 0, refund_ms_ = 0;
+  std::map<std::string, std::vector<int>> open_calls_;  // sockets, by message
+  std::vector<std::string> second_copies_;
+  std::optional<Process> third_;
+};
+
+// call is open, and so holds both back.
+TEST_F(HandoverTest, WhatTimedOutInAnOpenBulkCallIsNotRepeated) {
+  add_silent_host("b1", 2, "bulk");
+  add_silent_host("b2", 2, "bulk");
+  start_old(300, 1200);
+  start_next(new_);
+  ASSERT_TRUE(wait_healthy(new_));
+  ASSERT_EQ(hand_in("short", "note", 2), 202U);
+  ASSERT_EQ(hand_in("long", "refund", 2), 202U);
+  ASSERT_TRUE(wait_seen("short"));
+  ASSERT_TRUE(wait_seen("long"));
+  std::this_thread::sleep_for(700ms);  // past the first time-out, far from the second
+  process_->signal(SIGTERM);
+  EXPECT_EQ(process_->wait(), 0);
+  expect_repeated_later("short");
+  EXPECT_EQ(count_seen("long"), 1U) << "it may have run, and may not be repeated";
+}
+
+// A process with no call of its own is told to end while the one before it still has some.
+TEST_F(HandoverTest, AThirdProcessWaitsForTheFirstOnesCalls) {
+  add_silent_host("p1", 3, "plain");
+  add_silent_host("p2", 3, "plain");
+  start_old(2600, 2600);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  upgrade(process_, new_);
+  upgrade(new_, third_);
+  EXPECT_EQ(new_->wait(), 0);
+  EXPECT_EQ(process_->wait(), 0);
+  expect_repeated_later("m");
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
--- a/tests/loopback.cpp
+++ b/tests/loopback.cpp
@@ -7,6 +7,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
@@ -68,6 +69,22 @@
   return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
 }
 
+std::size_t FullBacklog::connections_with_bytes(std::chrono::milliseconds time) {
+  const auto until = std::chrono::steady_clock::now() + time;
+  std::vector<tcp::socket> accepted;
+  acceptor_.non_blocking(true);
+  while (std::chrono::steady_clock::now() < until) {
+    boost::system::error_code error;
+    tcp::socket socket = acceptor_.accept(error);
+    if (!error) accepted.push_back(std::move(socket));
+    if (error) std::this_thread::sleep_for(std::chrono::milliseconds(2));
+  }
+  return static_cast<std::size_t>(std::ranges::count_if(accepted, [](tcp::socket& socket) {
+    char byte = 0;
+    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1;
+  }));
+}
+
 bool answer(tcp::socket& socket, unsigned status, const std::string& body,
             const std::map<std::string, std::string>& headers) {
   Response response{http::int_to_status(status), 11};
--- a/tests/loopback.h
+++ b/tests/loopback.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <condition_variable>
 #include <functional>
 #include <list>
@@ -77,6 +78,9 @@
  public:
   FullBacklog();
   std::string address() const;
+  // Accepts from now on and for so long, so that connections come up late: the number of those that bring
+  // bytes.
+  std::size_t connections_with_bytes(std::chrono::milliseconds time);
 
  private:
   boost::asio::io_context context_;
--- /dev/null
+++ b/tests/upgrade_fixture.h
@@ -0,0 +1,49 @@
+// Two processes that are one relay, for tests: the real program is started beside itself.
+#pragma once
+
+#include "relay_fixture.h"
+
+namespace myrtlegrade::test {
+
+class UpgradeTest : public RelayTest {
+ protected:
+  void start_old() {
+    add_host("h", 2, "plain", kAccept);
+    add_host("h2", 3, "plain", kAccept);
+    start(with_second_address());
+  }
+  // The new process is told the addresses of the old one, but for its own second address.
+  json::object beside() const {
+    json::object changed = with_second_address();
+    changed["listen"] = address_;
+    return changed;
+  }
+  void start_beside(std::optional<Process>& process) {
+    const fs::path file = folder_ / "beside.json";
+    std::ofstream(file) << json::serialize(beside());
+    process.emplace(PROGRAM, std::map<std::string, std::string>{{"PROXY_CONFIG", file},
+                                                                {"PROXY_STATE", folder_ / "state"}});
+  }
+  static int end(std::optional<Process>& process, int signal) {
+    process->signal(signal);
+    const int status = process->wait();
+    process.reset();
+    return status;
+  }
+  static bool healthy(const std::optional<Process>& process) {
+    return call(process->second_address(), "HEALTH") == "ACK";
+  }
+  bool wait_healthy(const std::optional<Process>& process) {
+    for (int i = 0; i < 5000; ++i) {
+      if (healthy(process)) return true;
+    }
+    return false;
+  }
+  // Leaves so many calls of the host without an answer, the rest wait.
+  void fill(const std::string& prefix, const std::string& cls, int count) {
+    for (int i = 0; i < count; ++i) ASSERT_EQ(hand_in(prefix + std::to_string(i), cls, 2), 202U);
+  }
+  std::optional<Process> new_;
+};
+
+}  // namespace myrtlegrade::test
