--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -159,8 +159,13 @@
   std::optional<std::uint64_t> key{};
   std::vector<PastAttempt> past{};  // numbered before those that follow
   bool recovered = false;           // found at a start among what an earlier process had taken on
+  // The last of `past` may still be out at an earlier process: no other is made before EarlierCallsOver.
+  bool earlier_call_open = false;
 };
 
+// No earlier process has a call out any more, but for those that came as out with their messages.
+struct EarlierCallsOver {};
+
 struct Timer {
   std::uint64_t token = 0;
 };
@@ -199,7 +204,7 @@
   bool out = false;
 };
 
-using Event = std::variant<HostList, Message, Timer, Outcome, Withdrawn, ByHand, Learned>;
+using Event = std::variant<HostList, Message, Timer, Outcome, Withdrawn, ByHand, Learned, EarlierCallsOver>;
 
 struct Send {
   MessageId id{};
--- a/lab/baselines.cpp
+++ b/lab/baselines.cpp
@@ -154,6 +154,7 @@
   void on(const Timer&) {}
   void on(const ByHand&) {}
   void on(const Learned&) {}
+  void on(const vetchhinge::EarlierCallsOver&) {}
   void on(const Withdrawn& w) { drop(w.id); }
 
   void on(const Outcome& o) {
--- /dev/null
+++ b/relay/call_owners.h
@@ -0,0 +1,67 @@
+// Which earlier processes of this relay may still have calls out. Each process that calls endpoints holds an
+// exclusive lock on a file of its own in the folder that lasts; the kernel frees it however the process ends.
+// A process that took over, or was started anew, so learns of earlier ones that live, are stopped, or that
+// nobody else can tell of any more.
+#pragma once
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace myrtlegrade {
+
+class CallOwners {
+ public:
+  // The kernel frees the lock and closes the connections of a process that ends one after the other, and a
+  // process may be held up for so long at any point (STANDING.md).
+  static constexpr auto kLongestHoldUp = std::chrono::milliseconds(150);
+
+  struct Events {
+    std::function<void(const std::string& name)>
+        gone;                         // once for each earlier process: its connections are closed
+    std::function<void()> none_left;  // once: all that were there at the start are gone
+  };
+
+  CallOwners(boost::asio::any_io_executor executor, std::string folder, Events events);
+  ~CallOwners();
+  CallOwners(const CallOwners&) = delete;
+  CallOwners& operator=(const CallOwners&) = delete;
+
+  // To be called while this process holds the folder's lock: its own file is made, and the earlier ones' are
+  // looked at from now on. A folder that fails is tried again.
+  void start();
+
+  // Of this process; empty as long as the folder does not take its file.
+  const std::string& name() const { return name_; }
+
+  // No connection of this process carries a call any more, and none will.
+  void release();
+
+  // One that others speak of: it is gone too if the folder does not know it.
+  void expect(const std::string& name);
+
+ private:
+  using Clock = std::chrono::steady_clock;
+
+  void claim();
+  bool find_earlier();
+  bool is_locked(const std::string& name) const;
+  void look();
+  std::string path(const std::string& name) const { return folder_ + "/" + name; }
+
+  std::string folder_;
+  Events events_;
+  boost::asio::steady_timer timer_;
+  std::string name_;
+  int file_ = -1;
+  bool looking_ = false;  // the timer runs
+  bool found_ = false;    // the folder has been read
+  Clock::time_point started_{};
+  std::map<std::string, std::optional<Clock::time_point>> earlier_;  // since when their locks are free
+};
+
+}  // namespace myrtlegrade
--- a/relay/frames.cpp
+++ b/relay/frames.cpp
@@ -22,7 +22,7 @@
 
 Writer write(const Inheritance& all, const catalog::Table& list, const vetchhinge::drill::Names& hosts) {
   Writer out(Frame::over);
-  out.flag(all.leaving).number(all.descriptors).number(all.last_call);
+  out.flag(all.leaving).number(all.descriptors).number(all.last_call).flag(all.earlier_calls_open);
   out.number(static_cast<std::uint64_t>(all.list.version)).number(list.size());
   list.for_each(0, list.slots(), [&](catalog::Slot, const catalog::Entry& e) {
     out.text(e.id).text(e.kind).text(e.zone).number(e.cell).flag(e.state == catalog::State::serving);
@@ -45,7 +45,13 @@
   }
   out.number(all.out.size());
   for (const OutCall& c : all.out) {
-    out.text(c.message).text(c.cls).number(c.destination).number(c.attempt).text(c.host).text(c.zone);
+    out.text(c.owner)
+        .text(c.message)
+        .text(c.cls)
+        .number(c.destination)
+        .number(c.attempt)
+        .text(c.host)
+        .text(c.zone);
     out.number(c.call).time(c.sent).flag(c.over);
   }
   return out;
@@ -58,6 +64,7 @@
   all.leaving = in.flag();
   all.descriptors = in.number();
   all.last_call = in.number();
+  all.earlier_calls_open = in.flag();
   all.list.version = static_cast<std::int64_t>(in.number());
   for (std::size_t n = in.count(); n > 0 && in.good; --n) {
     const std::string id = in.text(), kind = in.text(), zone = in.text();
@@ -109,6 +116,7 @@
   }
   for (std::size_t n = in.count(); n > 0 && in.good; --n) {
     OutCall& c = all.out.emplace_back();
+    c.owner = in.text();
     c.message = in.text();
     c.cls = in.text();
     c.destination = in.number();
@@ -148,6 +156,11 @@
   return r;
 }
 
+Writer write_call_over(std::uint64_t call, CallEnd end) {
+  Writer out(Frame::call_over);
+  return out.number(call).number(static_cast<std::uint64_t>(end));
+}
+
 Writer write_hand_in(std::uint64_t token, const HandIn& m) {
   Writer out(Frame::hand_in);
   out.number(token).text(m.id).text(m.cls).number(m.destination).text(m.key).text(m.body).span(m.time_left);
--- a/relay/frames.h
+++ b/relay/frames.h
@@ -17,25 +17,28 @@
 
 namespace myrtlegrade {
 
-constexpr std::uint64_t kLinkVersion = 1;
+constexpr std::uint64_t kLinkVersion = 2;
 
 enum class Frame : std::uint8_t {
   hello = 1,  // each side's first: its version
   prepare,    // old to new: about to give over; answered by `prepared`
   prepared,
-  over,      // old to new: the lock is free, and this is what I knew
-  outcome,   // of a call that was out then
-  hand_in,   // a client's message; answered by `answer`
-  answer,    //
-  unheard,   // the client went away before it could be told
-  usage,     // descriptors that the old process still holds
-  call,      // a line that came to the second address of the one that is not the relay
-  reply,     // its answer
-  returned,  // no answer: the one that asked is the relay itself by now
+  over,       // old to new: the lock is free, and this is what I knew
+  outcome,    // of a message of a call that was out then; the call may go on for others
+  hand_in,    // a client's message; answered by `answer`
+  answer,     //
+  unheard,    // the client went away before it could be told
+  usage,      // descriptors that the old process still holds
+  call,       // a line that came to the second address of the one that is not the relay
+  reply,      // its answer
+  returned,   // no answer: the one that asked is the relay itself by now
+  call_over,  // a call that was out then: its connection is closed, or its whole answer has come
 };
 
-// A call that is out when a process gives over.
+// A message of a call that is out when a process gives over: with an outcome or without, for as long as the
+// call's connection is open.
 struct OutCall {
+  std::string owner;  // the process that has the connection, by its name among CallOwners; empty: not known
   std::string message;
   std::string cls;
   std::uint64_t destination = 0;
@@ -55,6 +58,8 @@
   bool leaving = false;
   std::size_t descriptors = 0;  // that the old process still holds
   std::uint64_t last_call = 0;  // numbers of calls go on from here
+  // Processes before that one may have calls out which it does not know.
+  bool earlier_calls_open = false;
 };
 
 // Numbers of hosts are each process's own: names travel.
@@ -65,6 +70,8 @@
 Writer write_outcome(const std::string& message, std::uint32_t attempt, const CallResult& result);
 CallResult read_result(Reader& in);
 
+Writer write_call_over(std::uint64_t call, CallEnd end);
+
 Writer write_hand_in(std::uint64_t token, const HandIn& message);
 HandIn read_hand_in(Reader& in);
 
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -89,12 +89,18 @@
   explicit Call(const asio::any_io_executor& executor) : timer(executor) {}
 
   SteadyTime item_deadline(std::size_t i) const { return SteadyTime(items[i].until.time_since_epoch()); }
-  void close() {
+  // The first reason counts.
+  void close(CallEnd reason) {
     boost::system::error_code ignored;
-    closed = true;
+    if (!std::exchange(closed, true)) why = reason;
     if (connection) connection->socket.close(ignored);
   }
 
+  // Nobody has been told yet that it was over, or why its connection was closed.
+  bool told_over = false;
+  CallEnd why = CallEnd::broken;
+
+  std::uint64_t number = 0;
   HostId host{};
   Endpoint address;
   std::vector<CallItem> items;
@@ -112,49 +118,65 @@
   // What is spoilt need not end, and would hold its slot until the time-out.
   SteadyTime rest_deadline = SteadyTime::max();
   SteadyTime arrive_by = SteadyTime::max();  // what had to leave by a moment
+  bool answered = false;                     // the answer is read whole
   bool reusable = false;  // the answer is read whole and the connection may carry another call
   bool finished = false;
 };
 
-HostClient::HostClient(asio::any_io_executor executor, Limits limits, Report report)
-    : executor_(std::move(executor)), limits_(limits), report_(std::move(report)), reap_timer_(executor_) {
+std::string_view name_of(CallEnd end) {
+  constexpr std::string_view names[] = {"answered",      "timed_out", "broken",
+                                        "not_connected", "withheld",  "cut"};
+  return names[static_cast<std::size_t>(end)];
+}
+
+HostClient::HostClient(asio::any_io_executor executor, Limits limits, Report report, Over over)
+    : executor_(std::move(executor)),
+      limits_(limits),
+      report_(std::move(report)),
+      over_(std::move(over)),
+      reap_timer_(executor_) {
   spawn(executor_, reap());
 }
 
 // Calls that are out end with it, as by a kill.
 HostClient::~HostClient() {
-  for (const auto& call : calls_) call->close();
+  for (const auto& call : calls_) call->close(CallEnd::cut);
 }
 
-void HostClient::call(HostId host, const Endpoint& address, std::vector<CallItem> items) {
-  std::vector<CallItem> part;
+void HostClient::call(std::uint64_t number, HostId host, const Endpoint& address,
+                      std::vector<CallItem> items) {
+  std::vector<std::vector<CallItem>> parts(1);
   std::size_t size = 2;
   for (CallItem& item : items) {
     const std::size_t share = bulk_share(*item.payload);
-    if (!part.empty() && size + share > kMostBody) {
-      start(host, address, std::exchange(part, {}));
+    if (!parts.back().empty() && size + share > kMostBody) {
+      parts.emplace_back();
       size = 2;
     }
     size += share;
-    part.push_back(std::move(item));
+    parts.back().push_back(std::move(item));
   }
-  if (!part.empty()) start(host, address, std::move(part));
+  parts_[number] = parts.size();
+  for (std::vector<CallItem>& part : parts) start(number, host, address, std::move(part));
 }
 
-void HostClient::start(HostId host, const Endpoint& address, std::vector<CallItem> items) {
+void HostClient::start(std::uint64_t number, HostId host, const Endpoint& address,
+                       std::vector<CallItem> items) {
   // Descriptors are bounded: idle connections make room, then what has no room is not sent.
   if (calls_.size() + idle_count_ >= limits_.most) drop_longest_idle();
-  if (calls_.size() >= limits_.most) {
-    asio::post(executor_, [this, host, items = std::move(items)] {
-      for (const CallItem& item : items) report_(host, item, {Result::not_sent, false, {}, {}});
-    });
-    return;
-  }
   auto call = std::make_shared<Call>(executor_);
+  call->number = number;
   call->host = host;
   call->address = address;
   call->reported.assign(items.size(), false);
   call->items = std::move(items);
+  if (calls_.size() >= limits_.most) {
+    asio::post(executor_, [this, call] {
+      report_rest(*call, Result::not_sent);
+      end(*call, CallEnd::withheld);
+    });
+    return;
+  }
   call->connect_deadline = call->started + limits_.connect_timeout;
   calls_.insert(call);
   spawn(executor_, run(call));
@@ -165,10 +187,30 @@
   for (const auto& call : calls_) {
     if (call->host != host || call->connected) continue;
     call->withheld = true;
-    call->close();
+    call->close(CallEnd::withheld);
+  }
+}
+
+void HostClient::withhold_all() {
+  for (const auto& call : all_calls()) {
+    if (!call->connected) cut(*call, Result::not_sent, CallEnd::withheld);
+  }
+}
+
+void HostClient::cut_all() {
+  for (const auto& call : all_calls()) {
+    cut(*call, call->connected ? Result::cancelled : Result::not_sent, CallEnd::cut);
   }
 }
 
+// Its coroutines find it closed and reported when they go on.
+void HostClient::cut(Call& call, Result result, CallEnd why) {
+  call.withheld = !call.connected;
+  call.close(why);
+  report_rest(call, result);
+  end(call, why);
+}
+
 void HostClient::close_idle(HostId host) {
   const auto found = idle_.find(host);
   if (found == idle_.end()) return;
@@ -196,7 +238,9 @@
   const Result unanswered = call->withheld  ? Result::not_sent
                             : call->written ? Result::reset
                                             : Result::connect_failed;
+  if (!call->answered) call->close(call->connected ? CallEnd::broken : CallEnd::not_connected);
   report_rest(*call, unanswered);
+  end(*call, call->answered ? CallEnd::answered : call->why);
   call->finished = true;
   call->timer.cancel();
   if (call->reusable) keep_idle(*call);
@@ -267,6 +311,7 @@
   const bool allowed = !too_late() && (!limits_.before_last_byte || limits_.before_last_byte(call.items));
   if (!allowed || too_late()) {  // recording it may have taken time
     call.withheld = true;
+    call.close(CallEnd::withheld);
     co_return;
   }
   call.connected = true;
@@ -276,14 +321,8 @@
   if (!call.written) co_return;
   if (leave_by < vetchhinge::Time::max()) {
     call.arrive_by = SteadyTime(leave_by.time_since_epoch()) + kOnTheWay;
-    call.timer.cancel();
-  }
-  // What ran out of time while it was being written is out all the same.
-  for (std::size_t i = 0; i < call.items.size(); ++i) {
-    if (call.item_deadline(i) <= std::chrono::steady_clock::now()) {
-      report(call, i, {Result::timed_out, false, {}, {}});
-    }
   }
+  call.timer.cancel();  // what ran out of time while it was being written is out all the same
 }
 
 asio::awaitable<bool> HostClient::read_some(Call& call) {
@@ -334,6 +373,7 @@
     if (status / 100 == 1) continue;
     const bool each = call.items.size() > 1 && status == 200;
     if (each && read_states(parser.get().body()).empty()) co_return;
+    call.answered = true;
     if (!single_delivered) answered(call, status, parser.get().body(), parser.get());
     // A connection that brings more than the answer is of no further use.
     call.reusable = parser.keep_alive() && call.connection->socket.is_open() && buffer.size() == 0;
@@ -373,28 +413,48 @@
   for (std::size_t i = 0; i < call.items.size(); ++i) report(call, i, {result, false, {}, {}});
 }
 
-// Each message has a time-out of its own; the call goes on for those that still wait.
+void HostClient::end(Call& call, CallEnd end) {
+  if (std::exchange(call.told_over, true)) return;
+  const auto parts = parts_.find(call.number);
+  if (--parts->second > 0) return;
+  parts_.erase(parts);
+  over_(call.number, end);
+}
+
+// When something is due next, and whether anything is waited for still.
+HostClient::Due HostClient::next_due(const Call& call, SteadyTime now) const {
+  Due due{call.rest_deadline, call.begun};
+  for (std::size_t i = 0; i < call.items.size() && !call.begun; ++i) {
+    if (call.item_deadline(i) <= now) continue;
+    due.at = std::min(due.at, call.item_deadline(i));
+    due.one_waits = due.one_waits || !call.reported[i];
+  }
+  return due;
+}
+
+void HostClient::report_timed_out(Call& call, SteadyTime now) {
+  if (call.begun || !call.written) return;
+  for (std::size_t i = 0; i < call.items.size(); ++i) {
+    if (call.item_deadline(i) <= now) report(call, i, {Result::timed_out, false, {}, {}});
+  }
+}
+
+// Each message has a time-out of its own; the call goes on for those that still wait. The last one's is told
+// once the connection is closed.
 asio::awaitable<void> HostClient::keep_time(std::shared_ptr<Call> call) {
-  while (!call->finished) {
+  while (!call->finished && !call->told_over) {
     const SteadyTime now = std::chrono::steady_clock::now();
-    SteadyTime next = call->rest_deadline;
-    bool one_waits = call->begun;
-    for (std::size_t i = 0; i < call->items.size() && !call->begun; ++i) {
-      if (call->item_deadline(i) > now) {
-        next = std::min(next, call->item_deadline(i));
-        one_waits = one_waits || !call->reported[i];
-      } else if (call->written) {
-        report(*call, i, {Result::timed_out, false, {}, {}});
-      }
-    }
+    const Due due = next_due(*call, now);
     const bool never_up = !call->connected && call->connect_deadline <= now;
     const bool too_late = call->arrive_by <= now && call->connection->on_the_way();
     if (call->arrive_by <= now) call->arrive_by = SteadyTime::max();
-    if (never_up || too_late || next <= now || next == SteadyTime::max() || !one_waits) {
-      call->close();
+    if (never_up || too_late || due.at <= now || due.at == SteadyTime::max() || !due.one_waits) {
+      call->close(CallEnd::timed_out);
+      report_timed_out(*call, now);
       co_return;
     }
-    next = std::min(next, call->arrive_by);
+    report_timed_out(*call, now);
+    const SteadyTime next = std::min(due.at, call->arrive_by);
     call->timer.expires_at(call->connected ? next : std::min(next, call->connect_deadline));
     co_await call->timer.async_wait(kAwait);
   }
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -1,16 +1,22 @@
-// Calls to hosts over kept-alive connections. It reports what became of each message of a call, and never
-// sends one again by itself.
+// Calls to hosts over kept-alive connections: the one owner of what is out. It reports what became of each
+// message of a call, tells the end of the call, and never sends one again by itself.
+//
+// A call is over once its whole answer has come or its connection is closed, and nothing else proves that. Of
+// a message alone that is proven when its call is told to be over: a message of a bulk call may time out
+// while the connection stays open for the others.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -47,6 +53,11 @@
   vetchhinge::ConnectionUsed connection{};
 };
 
+// Why a call is over.
+enum class CallEnd { answered, timed_out, broken, not_connected, withheld, cut };
+
+std::string_view name_of(CallEnd end);
+
 class HostClient {
  public:
   struct Limits {
@@ -63,18 +74,27 @@
     std::string via{};  // who says so in each call; empty: nobody
   };
   using Report = std::function<void(vetchhinge::HostId, const CallItem&, const CallResult&)>;
+  // The call of that number is over, and each of its items was reported before.
+  using Over = std::function<void(std::uint64_t call, CallEnd end)>;
 
-  HostClient(boost::asio::any_io_executor executor, Limits limits, Report report);
+  HostClient(boost::asio::any_io_executor executor, Limits limits, Report report, Over over);
   ~HostClient();
 
-  // One call; several items travel as a bulk call, or as more where one body can't hold them. Each item is
-  // reported once.
-  void call(vetchhinge::HostId host, const Endpoint& address, std::vector<CallItem> items);
+  // One call, under a number that no other has; several items travel as a bulk call, or as more where one
+  // body can't hold them. Each item is reported once.
+  void call(std::uint64_t number, vetchhinge::HostId host, const Endpoint& address,
+            std::vector<CallItem> items);
 
   // Ends calls whose request has not begun to go out, as never sent. What was decided before a host drained,
   // or before it told us to wait, must not reach it once its connection is up.
   void withhold(vetchhinge::HostId host);
 
+  // The same of all hosts, done when it returns: what is out after that may run already.
+  void withhold_all();
+
+  // Ends all calls at once: their connections are closed when it returns.
+  void cut_all();
+
   void close_idle(vetchhinge::HostId host);
 
   void close_all_idle();
@@ -90,7 +110,8 @@
   struct Connection;
   struct Call;
 
-  void start(vetchhinge::HostId host, const Endpoint& address, std::vector<CallItem> items);
+  void start(std::uint64_t number, vetchhinge::HostId host, const Endpoint& address,
+             std::vector<CallItem> items);
   boost::asio::awaitable<void> run(std::shared_ptr<Call> call);
   boost::asio::awaitable<bool> connect(Call& call);
   boost::asio::awaitable<void> write(Call& call);
@@ -100,9 +121,19 @@
   boost::asio::awaitable<void> keep_time(std::shared_ptr<Call> call);
   boost::asio::awaitable<void> reap();
 
+  struct Due {
+    std::chrono::steady_clock::time_point at;
+    bool one_waits = false;
+  };
+  Due next_due(const Call& call, std::chrono::steady_clock::time_point now) const;
+  void report_timed_out(Call& call, std::chrono::steady_clock::time_point now);
+
   void answered(Call& call, unsigned status, const std::string& body, const boost::beast::http::fields& head);
   void report(Call& call, std::size_t item, CallResult result);
   void report_rest(Call& call, vetchhinge::Result result);
+  void end(Call& call, CallEnd end);
+  void cut(Call& call, vetchhinge::Result result, CallEnd end);
+  std::vector<std::shared_ptr<Call>> all_calls() const { return {calls_.begin(), calls_.end()}; }
   std::shared_ptr<Connection> take_idle(const Call& call);
   void keep_idle(Call& call);
   void drop_longest_idle();
@@ -110,11 +141,13 @@
   boost::asio::any_io_executor executor_;
   Limits limits_;
   Report report_;
+  Over over_;
   boost::asio::steady_timer reap_timer_;
   std::unordered_map<vetchhinge::HostId, std::vector<std::shared_ptr<Connection>>> idle_;  // newest last
   std::size_t idle_count_ = 0;
   std::uint64_t opened_ = 0;
   std::unordered_set<std::shared_ptr<Call>> calls_;
+  std::unordered_map<std::uint64_t, std::size_t> parts_;  // that are not over, by number of their call
 };
 
 }  // namespace myrtlegrade
--- a/relay/moment.h
+++ b/relay/moment.h
@@ -28,6 +28,11 @@
   vetchhinge::Time steady{};
 };
 
+// Rounded up: what has to last for a span must not end before it.
+inline std::chrono::milliseconds whole_ms(vetchhinge::Duration span) {
+  return std::chrono::ceil<std::chrono::milliseconds>(span);
+}
+
 Moment read_clocks();
 
 Moment operator+(const Moment& at, vetchhinge::Duration span);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -40,8 +40,6 @@
   return static_cast<std::size_t>(static_cast<double>(shared) * share);
 }
 
-std::chrono::milliseconds whole_ms(Duration d) { return std::chrono::ceil<std::chrono::milliseconds>(d); }
-
 }  // namespace
 
 Relay::Relay(boost::asio::any_io_executor executor, Config config, boost::asio::ip::tcp::acceptor listening,
@@ -50,18 +48,23 @@
       config_(std::move(config)),
       journal_(config_.state_folder, config_.disk_bytes, config_.durability),
       sender_(config_.settings),
-      host_client_(executor,
-                   {.connect_timeout = config_.connect_timeout,
-                    .idle = config_.settings.connection_idle,
-                    .most_idle = part_of(config_.sockets, kIdleHostShare),
-                    .most = part_of(config_.sockets, kHostShare),
-                    .reports = config_.dialect.share_left && config_.dialect.calls_per_second,
-                    .before_last_byte =
-                        [this](const std::vector<CallItem>& items) { return record_before_last_byte(items); },
-                    .via = config_.copies ? config_.name : ""},
-                   [this](HostId host, const CallItem& item, const CallResult& result) {
-                     reported(host, item, result);
-                   }),
+      owners_(executor, config_.state_folder,
+              {.gone = [this](const std::string& owner) { owner_gone(owner); },
+               .none_left = [this] { no_owner_left(); }}),
+      host_client_(
+          executor,
+          {.connect_timeout = config_.connect_timeout,
+           .idle = config_.settings.connection_idle,
+           .most_idle = part_of(config_.sockets, kIdleHostShare),
+           .most = part_of(config_.sockets, kHostShare),
+           .reports = config_.dialect.share_left && config_.dialect.calls_per_second,
+           .before_last_byte =
+               [this](const std::vector<CallItem>& items) { return record_before_last_byte(items); },
+           .via = config_.copies ? config_.name : ""},
+          [this](HostId host, const CallItem& item, const CallResult& result) {
+            reported(host, item, result);
+          },
+          [this](std::uint64_t call, CallEnd end) { call_over(call, end); }),
       endpoints_(config_.dialect, config_.settings, journal_, host_client_),
       discovery_(
           executor, config_.discovery,
@@ -80,6 +83,7 @@
       watch_timer_(executor),
       journal_timer_(executor),
       log_timer_(executor),
+      owner_timer_(executor),
       drain_timer_(executor) {
   if (config_.durability == valedrum::recovery::Durability::power)
     syncer_ = std::make_shared<Syncer>(executor_, [this] { return journal_.sync_later(); });
@@ -100,58 +104,6 @@
   return server_.connections() + host_client_.connections() + kSetAside;
 }
 
-void Relay::start() {
-  auto inherited = std::exchange(inherited_, std::nullopt);
-  WholeList& list = inherited ? inherited->list : *config_.known;
-  endpoints_.take_whole(list.version, std::move(list.entries), vetchhinge::HostList::Kind::cached, events_);
-  if (inherited) give_back(executor_, std::move(config_.known->entries));
-  config_.known.reset();
-  if (inherited) {
-    for (const vetchhinge::LaneLearned& lane : inherited->learned.lanes) endpoints_.wake(lane.host, events_);
-    for (const vetchhinge::HostLearned& host : inherited->learned.hosts) endpoints_.wake(host.host, events_);
-    // The module gets to know a host when it hears that it runs: also one that drains by now, for what was
-    // learned there, as a told wait, binds towards all of its destination.
-    for (std::size_t n = events_.size(); n > 0; --n) {
-      auto once = std::get<vetchhinge::HostList>(events_[n - 1]);
-      for (vetchhinge::HostEntry& entry : once.entries) entry.state = HostState::running;
-      events_.insert(events_.begin() + static_cast<std::ptrdiff_t>(n - 1), std::move(once));
-    }
-    events_.emplace_back(inherited->learned);
-  }
-  for (const std::string& host : journal_.banned()) tell_by_hand(host, true);
-  for (Notice& notice : journal_.take_notices()) {
-    // Whether others know that it goes back to its client is not known: its failure does no harm to what they
-    // do.
-    notice.handed_back = notice.handed_back && !copies_;
-    discovery_.send(notice);
-  }
-  std::unordered_map<std::string, const OutCall*> out;
-  if (inherited) {
-    last_call_ = inherited->last_call;
-    leave_descriptors(inherited->descriptors);
-    if (inherited->leaving) server_.leave();
-    for (const OutCall& call : inherited->out) {
-      if (call.over) take_up_out(call);
-      if (!call.over) out[call.message] = &call;
-    }
-  }
-  for (const StoredMessage& stored : journal_.take_messages()) {
-    const auto at = out.find(stored.id);
-    const OutCall* call = at == out.end() ? nullptr : at->second;
-    if (copies_ && copies_->copies().look(stored.id)) {
-      waiting_.emplace(stored.id, Waiting{stored, call ? std::optional(*call) : std::nullopt});
-    } else {
-      if (copies_) copies_->copies().keep_alone(stored.id);
-      take_up(stored, call);
-    }
-  }
-  step();
-  if (copies_) copies_->start();
-  server_.start();
-  if (!config_.settings.list_on_request) discovery_.watch(endpoints_.version());
-  keep_log();
-}
-
 vetchhinge::Time Relay::now() const { return steady_time(); }
 
 MessageId Relay::new_id() {
@@ -216,77 +168,6 @@
   happened(vetchhinge::Message{id, *cls, destination, now() + message.time_left, {}, {}, {}});
 }
 
-// What an earlier process had taken on, with what it knew of the message's attempts.
-void Relay::take_up(const StoredMessage& stored, const OutCall* out, const std::vector<bool>& astray) {
-  const auto cls = config_.dialect.classes.find(stored.cls);
-  if (!cls) {  // the class is gone from the settings: nobody can say what a repeat would do
-    const Notice notice{stored.id, false, {}};
-    journal_.end_owing(notice);
-    discovery_.send(notice);
-    return;
-  }
-  const Moment present = read_clocks();
-  const MessageId id = new_id();
-  Open open;
-  open.payload = std::make_shared<const Payload>(Payload{stored.id, stored.key, stored.body});
-  open.cls = stored.cls;
-  open.destination = stored.destination;
-  open.deadline = stored.deadline;
-  open.attempts = static_cast<std::uint32_t>(stored.attempts.size());
-  open.may_have_run = std::ranges::any_of(stored.attempts, [&](const StoredAttempt& a) {
-    return a.may_have_run &&
-           (!out || out->attempt != static_cast<std::uint32_t>(&a - stored.attempts.data()));
-  });
-  ids_.emplace(stored.id, id);
-  open_.emplace(id, std::move(open));
-  ++held_;
-  vetchhinge::Message message{
-      id, *cls, vetchhinge::DestinationId(stored.destination), due_at(stored.deadline, present), {}, {}, {}};
-  for (const StoredAttempt& attempt : stored.attempts) {
-    message.past.push_back({vetchhinge::ZoneId{config_.dialect.zones.number(attempt.zone)},
-                            sent_at(attempt.sent, present), attempt.may_have_run});
-    const std::size_t n = message.past.size() - 1;
-    message.past.back().astray = n < astray.size() && astray[n];
-  }
-  message.recovered = true;
-  MessageTrace::event(stored.id, "recovered", "class", stored.cls, "destination", stored.destination,
-                      "attempts", stored.attempts.size(), "may_have_run",
-                      std::ranges::count(stored.attempts, true, &StoredAttempt::may_have_run), "time_left_ms",
-                      whole_ms(until(stored.deadline, present)).count());
-  endpoints_.wake(stored.destination, events_);
-  if (out && out->attempt < message.past.size()) {
-    vetchhinge::PastAttempt& at = message.past[out->attempt];
-    at = past(open_.at(id), *out, at.sent);
-  }
-  events_.emplace_back(std::move(message));
-}
-
-// One that is over, but has a call out that still takes a slot.
-void Relay::take_up_out(const OutCall& out) {
-  const auto cls = config_.dialect.classes.find(out.cls);
-  if (!cls || ids_.contains(out.message)) return;
-  const MessageId id = new_id();
-  Open& open = open_[id];
-  open.payload = std::make_shared<const Payload>(Payload{out.message, {}, {}});
-  open.cls = out.cls;
-  open.destination = out.destination;
-  open.attempts = out.attempt + 1;
-  open.over = true;
-  ids_.emplace(out.message, id);
-  endpoints_.wake(out.destination, events_);
-  vetchhinge::Message message{id, *cls, vetchhinge::DestinationId(out.destination), now(), {}, {}, {}};
-  message.past.resize(out.attempt);  // that never ran, for all that it matters now
-  message.past.push_back(past(open, out, sent_at({out.sent}, read_clocks())));
-  events_.emplace_back(std::move(message));
-}
-
-vetchhinge::PastAttempt Relay::past(Open& open, const OutCall& out, vetchhinge::Time sent) {
-  const HostId id = endpoints_.call_elsewhere(out.host, out.destination, out.zone);
-  open.out.push_back({out.attempt, id, out.call, Moment{out.sent}, true, true});
-  const vetchhinge::ZoneId zone{config_.dialect.zones.number(out.zone)};
-  return {zone, sent, true, true, id, out.call};
-}
-
 // The client did not hear that its message is taken on, so it hands it in again elsewhere.
 void Relay::unheard(const std::string& id) {
   if (successor_) return successor_->unheard(id);
@@ -304,7 +185,7 @@
 
 void Relay::reported(HostId host, const CallItem& item, const CallResult& result) {
   Open& open = open_.at(item.message);
-  std::erase_if(open.out, [&](const Out& out) { return out.attempt == item.attempt; });
+  if (Out* const out = find_out(open, item.attempt)) out->reported = true;
   counters_.outcome(result.result);
   MessageTrace::event(open.payload->id, "outcome", "attempt", item.attempt, "result", name_of(result.result),
                       "over", result.over, "elapsed_ms", whole_ms(result.elapsed).count(), "wait_ms",
@@ -326,6 +207,7 @@
   if (!open.over) {
     const bool never_ran = result.result == Result::full || result.result == Result::connect_failed ||
                            result.result == Result::not_sent;
+    if (!result.over) open.ended.push_back({item.attempt, endpoints_.name(host), name_of(result.result)});
     if (result.over) {
       journal_.end(open.payload->id);
       // Delivered before all have said that they hold it: there is nothing left to hold.
@@ -515,24 +397,23 @@
 void Relay::add_to_call(Calls& calls, const vetchhinge::Send& send) {
   Open& open = open_.at(send.id);
   const Endpoints::Host& host = endpoints_.at(send.host);
-  const auto same = [&](const auto& call) { return call.first == send.host; };
+  const auto same = [&](const DecidedCall& call) { return call.host == send.host; };
   const auto last = std::ranges::find_if(calls.rbegin(), calls.rend(), same);
   const std::size_t most = config_.settings.kinds[host.kind].batch;
-  std::vector<CallItem>* items = nullptr;
-  if (last != calls.rend() && last->second.size() < most) {
-    items = &last->second;
-  } else {
-    items = &calls.emplace_back(send.host, std::vector<CallItem>{}).second;
-  }
+  const bool joins = last != calls.rend() && last->items.size() < most;
+  DecidedCall& call = joins ? *last : calls.emplace_back(DecidedCall{++last_call_, send.host, {}});
   if (open.attempts > 0) ++counters_.repeats;
   MessageTrace::event(open.payload->id, "call", "attempt", open.attempts, "endpoint",
                       endpoints_.name(send.host), "timeout_ms", whole_ms(send.timeout).count());
   const vetchhinge::Time decided = steady_time(last_step_);
-  const std::uint64_t number =
-      items->empty() ? ++last_call_ : open_.at(items->front().message).out.back().call;
-  open.out.push_back({open.attempts, send.host, number, read_clocks()});
-  items->push_back({send.id, open.attempts++, open.payload, decided + send.timeout, send.idle_most,
-                    send.prove, send.leave_by});
+  const Out& out = open.out.emplace_back(Out{open.attempts, send.host, call.number, read_clocks()});
+  if (open.attempts > 0) log_repeat(open, out);
+  CallOut& booked = calls_[call.number];
+  booked.host = send.host;
+  booked.begun = out.sent;
+  booked.messages.push_back(send.id);
+  call.items.push_back({send.id, open.attempts++, open.payload, decided + send.timeout, send.idle_most,
+                        send.prove, send.leave_by});
   endpoints_.call_begins(send.host);
   if (records_at_decision()) record_attempt(open, open.out.back());
   if (copies_) copy_attempt(open, endpoints_.name(send.host), host.zone);
@@ -541,16 +422,14 @@
 // A host may keep the time of a call by the message that it names first: its answer counts for none of the
 // others once that one's time is up. So the one with the most time left leads.
 void Relay::lead_with_longest(Calls& calls) const {
-  for (auto& [host, items] : calls) {
-    std::ranges::stable_sort(items, std::greater{},
+  for (DecidedCall& call : calls) {
+    std::ranges::stable_sort(call.items, std::greater{},
                              [this](const CallItem& item) { return open_.at(item.message).deadline.steady; });
   }
 }
 
 void Relay::not_sent(const Calls& calls) {
-  for (const auto& [host, items] : calls) {
-    for (const CallItem& item : items) reported(host, item, {Result::not_sent, false, {}, {}});
-  }
+  for (const DecidedCall& call : calls) never_called(call.number, call.host, call.items);
 }
 
 // It has its final answer. Attempts still out keep the entry until they are over.
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -14,11 +14,13 @@
 #include <unordered_map>
 #include <vector>
 
+#include "call_owners.h"
 #include "config.h"
 #include "copy_net.h"
 #include "counters.h"
 #include "discovery.h"
 #include "endpoints.h"
+#include "event_log.h"
 #include "frames.h"
 #include "host_client.h"
 #include "journal.h"
@@ -57,14 +59,20 @@
     std::function<void(HandIn, Server::Respond)> hand_in;
     std::function<void(const std::string& id)> unheard;
     std::function<void(const std::string& id, std::uint32_t attempt, const CallResult& result)> outcome;
+    std::function<void(std::uint64_t call, CallEnd end)> call_over;
     std::function<bool()> told_all;
   };
   // Decides a last time, and writes nothing any more. What is out ends here; `done` as with drain().
   Writer give_over(Successor successor, std::function<void()> done);
 
-  // What the earlier process tells after that, and its end: calls that it had out may have run.
+  // What the earlier process tells after that. Only a final answer counts before the call is over: a message
+  // that is not over is kept back for as long as the call's connection is open.
   void reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result);
+  void call_over_elsewhere(std::uint64_t call, CallEnd end);
+  // The link to it has ended, which proves nothing of its connections: see CallOwners.
   void predecessor_gone();
+  // Nobody hears what becomes of the calls that are out here: they end at once.
+  void successor_gone();
 
   // So many are in use by another process that counts with this one.
   void leave_descriptors(std::size_t count);
@@ -80,13 +88,27 @@
   std::string called(const std::string& line);
 
  private:
-  struct Out {  // an attempt without an outcome
+  struct Out {  // an attempt whose call is not over
     std::uint32_t attempt = 0;
     vetchhinge::HostId host{};
     std::uint64_t call = 0;
     Moment sent{};
-    bool elsewhere = false;  // at the earlier process
-    bool recorded = false;   // the journal has it as one that may run
+    bool elsewhere = false;            // at an earlier process
+    bool reported = false;             // the module has its outcome
+    std::optional<CallResult> told{};  // of one elsewhere: its outcome once the call is over
+    bool recorded = false;             // the journal has it as one that may run
+  };
+  struct CallOut {  // a call that is not over
+    vetchhinge::HostId host{};
+    Moment begun{};
+    std::string owner;  // the earlier process that has it out; empty: this one
+    std::vector<vetchhinge::MessageId> messages;
+    bool elsewhere = false;
+  };
+  struct EndedAttempt {  // of a message that was not delivered by it
+    std::uint32_t number = 0;
+    std::string endpoint;
+    std::string_view outcome;
   };
   struct Open {  // a message that is not over, or still has an attempt out
     std::shared_ptr<const Payload> payload;
@@ -97,15 +119,23 @@
     std::uint32_t listeners = 1;  // connections that handed it in and may hear the answer
     std::uint32_t attempts = 0;
     std::vector<Out> out;
+    std::vector<EndedAttempt> ended;
     bool over = false;
     bool ending = false;        // given up, and not told yet
     bool may_have_run = false;  // an attempt that has ended
+    bool earlier_call_open =
+        false;  // of a process that nothing is known of but that it may still have it out
 
     bool is(const HandIn& m) const {
       return cls == m.cls && destination == m.destination && payload->key == m.key && payload->body == m.body;
     }
   };
-  using Calls = std::vector<std::pair<vetchhinge::HostId, std::vector<CallItem>>>;
+  struct DecidedCall {
+    std::uint64_t number = 0;
+    vetchhinge::HostId host{};
+    std::vector<CallItem> items;
+  };
+  using Calls = std::vector<DecidedCall>;
 
   void reported(vetchhinge::HostId host, const CallItem& item, const CallResult& result);
   bool listed(valedrum::catalog::ListReader& list, bool first);
@@ -115,6 +145,16 @@
   void take_up_out(const OutCall& out);
   vetchhinge::PastAttempt past(Open& open, const OutCall& out, vetchhinge::Time sent);
   std::vector<OutCall> calls_out() const;
+  Out* find_out(Open& open, std::uint32_t attempt);
+  void call_over(std::uint64_t call, CallEnd end);
+  void never_called(std::uint64_t call, vetchhinge::HostId host, const std::vector<CallItem>& items);
+  void owner_gone(const std::string& owner);
+  void no_owner_left();
+  bool cut_calls();
+  void log_hand_over(const std::vector<OutCall>& calls);
+  void log_inherited(const std::vector<OutCall>& calls);
+  void log_repeat(const Open& open, const Out& out);
+  void log_call_over(std::uint64_t number, const CallOut& call, CallEnd end);
 
   std::string take_out(const std::string& host);
   std::string put_back(const std::string& host);
@@ -142,7 +182,6 @@
   void record_attempt(const Open& open, Out& out);
   bool keeps_rules(const CallItem& item);
   bool record_before_last_byte(const std::vector<CallItem>& items);
-  void record_unsent_calls();
   void drain_further();
   void log_counters();
   void keep_log();
@@ -152,10 +191,8 @@
 
   // ------------------------------------------------------------------ relay_copies.cpp
   static constexpr std::uint64_t kUndurable = std::uint64_t{1} << 63;
-  struct PendingCall {  // until others know what it means to do, and the disk does
-    vetchhinge::HostId host{};
-    std::vector<CallItem> items;
-    std::uint64_t withheld = 0;  // as it was then
+  struct PendingCall : DecidedCall {  // until others know what it means to do, and the disk does
+    std::uint64_t withheld = 0;       // as it was then
   };
   struct Waiting {  // found in the journal, and not known yet whether it is still this relay's to end
     StoredMessage stored;
@@ -195,6 +232,8 @@
   Journal journal_;
   std::shared_ptr<Syncer> syncer_;  // with durability `power`
   vetchhinge::Sender sender_;
+  CallOwners owners_;  // outlives the connections
+  EventLog events_log_;
   HostClient host_client_;
   Endpoints endpoints_;
   Discovery discovery_;
@@ -208,6 +247,8 @@
   std::size_t held_ = 0;  // messages that are not over
   std::uint32_t last_id_ = 0;
   std::uint64_t last_call_ = 0;
+  std::unordered_map<std::uint64_t, CallOut> calls_;  // by number: those of this process, and inherited ones
+  bool earlier_calls_open_ = false;                   // calls that nobody handed over may be out
 
   std::optional<Inheritance> inherited_;  // until it is taken up
   std::optional<Successor> successor_;    // set once this process has given over
@@ -224,6 +265,7 @@
   Counters counters_, logged_;
   boost::asio::steady_timer log_timer_;
 
+  boost::asio::steady_timer owner_timer_;
   boost::asio::steady_timer drain_timer_;
   std::function<void()> drained_;
   std::chrono::steady_clock::time_point draining_since_{};
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-std::chrono::milliseconds whole_ms(Duration d) { return std::chrono::ceil<std::chrono::milliseconds>(d); }
-
 // The same moment on the clock that copies tell time by, and back.
 copies::Time to_copies(const Moment& at) { return CopyNet::now() + until(at, read_clocks()); }
 Moment from_copies(copies::Time at) { return read_clocks() + (at - CopyNet::now()); }
@@ -108,15 +106,16 @@
 }
 
 void Relay::call_when_known(Calls calls) {
-  for (auto& [host, items] : calls) {
-    PendingCall call{host, std::move(items), endpoints_.at(host).withheld};
+  for (DecidedCall& decided : calls) {
+    const std::uint64_t withheld = endpoints_.at(decided.host).withheld;
+    PendingCall call{std::move(decided), withheld};
     if (!syncer_) {
       await_copies(std::move(call));
     } else {
-      const std::uint64_t number = ++last_undurable_;
-      pending_calls_.emplace(number, std::move(call));
-      when_durable([this, number](bool synced) {
-        auto pending = pending_calls_.extract(number);
+      const std::uint64_t ticket = ++last_undurable_;
+      pending_calls_.emplace(ticket, std::move(call));
+      when_durable([this, ticket](bool synced) {
+        auto pending = pending_calls_.extract(ticket);
         if (!pending) return;
         if (!synced) return release(std::move(pending.mapped()), false);
         await_copies(std::move(pending.mapped()));
@@ -147,7 +146,8 @@
       reported(call.host, item, {Result::not_sent, false, {}, {}});
     }
   }
-  if (!go.empty()) host_client_.call(call.host, host.address, std::move(go));
+  if (go.empty()) return call_over(call.number, CallEnd::withheld);
+  host_client_.call(call.number, call.host, host.address, std::move(go));
 }
 
 // Handed back, its client comes with it again: work that may not be repeated must not be sent by others any
@@ -283,7 +283,7 @@
 void Relay::settle_pending() {
   if (!copies_) return;
   for (auto& [ticket, call] : std::exchange(pending_calls_, {})) {
-    for (const CallItem& item : call.items) reported(call.host, item, {Result::not_sent, false, {}, {}});
+    never_called(call.number, call.host, call.items);
   }
   promises_.clear();
   std::vector<MessageId> unanswered;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -1,12 +1,11 @@
 // The end of a process: a drain after SIGTERM, or giving over to a process that takes its place.
+#include <iostream>
 #include <utility>
 
 #include "relay.h"
 
 namespace myrtlegrade {
 
-using vetchhinge::HostId;
-using vetchhinge::Result;
 using namespace std::chrono_literals;
 using SteadyClock = std::chrono::steady_clock;
 
@@ -17,6 +16,7 @@
 constexpr auto kClientsCome = 600ms;  // new connections may still be on their way
 constexpr auto kLeaveAfter = 2800ms;  // whatever is out then
 constexpr auto kGoneAfter = 3200ms;   // the same where a new process serves meanwhile
+constexpr auto kToldAfter = 3400ms;   // whether the new process has heard of all or not
 constexpr auto kDrainLook = 20ms;
 
 }  // namespace
@@ -33,7 +33,9 @@
   step_timer_.cancel();
   watch_timer_.cancel();
   settle_pending();
-  record_unsent_calls();
+  // Of bans, told waits and changes of the list this process hears nothing any more: what has not left may
+  // not leave, and is the new process's to decide.
+  host_client_.withhold_all();
   tell_ends(journal_.flush());
   journal_.retire();
   discovery_.stop();
@@ -43,6 +45,8 @@
   all.list.version = endpoints_.version();
   all.learned = sender_.learned(now());
   all.out = calls_out();
+  all.earlier_calls_open = earlier_calls_open_;
+  log_hand_over(all.out);
   all.leaving = server_.leaving();
   all.descriptors = descriptors();
   all.last_call = last_call_;
@@ -57,38 +61,27 @@
   std::vector<OutCall> all;
   for (const auto& [id, open] : open_) {
     for (const Out& out : open.out) {
-      all.push_back({open.payload->id, open.cls, open.destination, out.attempt, endpoints_.name(out.host),
-                     endpoints_.at(out.host).zone, out.call, out.sent.wall, open.over});
+      const CallOut& call = calls_.at(out.call);
+      all.push_back({call.elsewhere ? call.owner : owners_.name(), open.payload->id, open.cls,
+                     open.destination, out.attempt, endpoints_.name(out.host), endpoints_.at(out.host).zone,
+                     out.call, out.sent.wall, open.over});
     }
   }
   return all;
 }
 
-void Relay::reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result) {
-  const auto found = ids_.find(id);
-  if (found == ids_.end()) return;
-  const Open& open = open_.at(found->second);
-  for (const Out& out : open.out) {
-    if (out.attempt != attempt || !out.elsewhere) continue;
-    CallItem item;
-    item.message = found->second;
-    item.attempt = attempt;
-    return reported(HostId(out.host), item, result);
-  }
+// False: some of what became of them is not told yet.
+bool Relay::cut_calls() {
+  host_client_.cut_all();
+  if (!successor_) flush_journal();  // what never left may be tried by a restart
+  return !successor_ || successor_->told_all();
 }
 
-// Its connections are closed. Nothing tells what became of its calls.
-void Relay::predecessor_gone() {
-  leave_descriptors(0);
-  std::vector<std::pair<std::string, std::uint32_t>> left;
-  for (const auto& [id, open] : open_) {
-    for (const Out& out : open.out) {
-      if (out.elsewhere) left.emplace_back(open.payload->id, out.attempt);
-    }
-  }
-  for (const auto& [id, attempt] : left) {
-    reported_elsewhere(id, attempt, {Result::cancelled, false, {}, {}, {}, {}});
-  }
+void Relay::successor_gone() {
+  std::cerr << "myrtlegrade: the new process is gone, calls_out=" << host_client_.calls_out() << " end now"
+            << std::endl;
+  host_client_.cut_all();
+  owners_.release();
 }
 
 void Relay::drain(std::function<void()> done) {
@@ -108,13 +101,17 @@
   tell_ends(flush_journal());
   const bool idle = !successor_ && passed >= kClientsCome && held_ == 0 && server_.connections() == 0 &&
                     host_client_.calls_out() == 0 && !discovery_.notices_pending();
-  const bool quiet = closing_ && host_client_.calls_out() == 0 && server_.connections() == 0 &&
-                     (!successor_ || successor_->told_all());
-  if (idle || quiet || passed >= (successor_ ? kGoneAfter : kLeaveAfter)) {
+  const bool quiet =
+      closing_ && calls_.empty() && server_.connections() == 0 && (!successor_ || successor_->told_all());
+  const bool leaves = passed >= (successor_ ? kGoneAfter : kLeaveAfter);
+  // The connections are closed before anybody may take this process for gone.
+  const bool told = leaves && (cut_calls() || passed >= kToldAfter);
+  if (idle || quiet || told) {
     log_counters();
     drained_();
     return;
   }
+  if (successor_ && host_client_.calls_out() == 0) owners_.release();  // nothing leaves any more
   drain_timer_.expires_after(kDrainLook);
   drain_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) drain_further();
--- a/relay/relay_journal.cpp
+++ b/relay/relay_journal.cpp
@@ -33,7 +33,9 @@
   const auto cls = config_.dialect.classes.find(open.cls);
   const bool once = cls && config_.settings.classes[*cls].effect == Effect::at_most_once;
   const char* broken = nullptr;
-  if (open.out.size() > 1) broken = "another attempt is out";
+  // Also one that has an outcome, as long as its connection is open, and those of earlier processes.
+  if (open.out.size() > 1 || open.earlier_call_open) broken = "another attempt is out";
+  if (successor_) broken = "this process has given over";
   if (item.attempt >= config_.settings.max_attempts) broken = "no attempt is left";
   if (once && open.may_have_run) broken = "it may have run and may not be repeated";
   if (!broken) return true;
@@ -48,7 +50,6 @@
 bool Relay::record_before_last_byte(const std::vector<CallItem>& items) {
   if (!std::ranges::all_of(items, [this](const CallItem& item) { return may_leave(item); })) return false;
   if (!std::ranges::all_of(items, [this](const CallItem& item) { return keeps_rules(item); })) return false;
-  if (successor_) return true;  // recorded before the journal became the successor's
   for (const CallItem& item : items) {
     Open& open = open_.at(item.message);
     const auto out = std::ranges::find(open.out, item.attempt, &Out::attempt);
@@ -57,15 +58,6 @@
   return flush_journal();
 }
 
-// Calls that leave after this process has given its journal over count as ones that may run.
-void Relay::record_unsent_calls() {
-  for (auto& [id, open] : open_) {
-    for (Out& out : open.out) {
-      if (!out.elsewhere && !out.recorded) record_attempt(open, out);
-    }
-  }
-}
-
 void Relay::end_undelivered(MessageId id, Notice notice) {
   const auto found = open_.find(id);
   if (found == open_.end() || found->second.over || found->second.ending)
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -255,6 +255,10 @@
     const auto attempt = static_cast<std::uint32_t>(in.number());
     const CallResult result = read_result(in);
     if (in.good) relay_->reported_elsewhere(id, attempt, result);
+  } else if (kind == Frame::call_over) {
+    const std::uint64_t call = in.number();
+    const auto end = static_cast<CallEnd>(in.number());
+    if (in.good) relay_->call_over_elsewhere(call, end);
   } else if (kind == Frame::hand_in) {
     const std::uint64_t token = in.number();
     HandIn message = read_hand_in(in);
@@ -306,6 +310,7 @@
   drop_questions();
   // What clients handed in may be on its disk or not: no answer would be true.
   for (const auto& [token, respond] : std::exchange(handed_in_, {})) respond({Answer::Kind::failed, {}});
+  if (given_over_) relay_->successor_gone();
   if (std::exchange(successor_ready_, false) && ending_ && !given_over_) {
     prepare_timer_.cancel();
     leave_alone();
@@ -352,7 +357,13 @@
   to.outcome = [this](const std::string& id, std::uint32_t attempt, const CallResult& result) {
     if (successor_) successor_->send(write_outcome(id, attempt, result));
   };
-  to.told_all = [this] { return handed_in_.empty() && (!successor_ || successor_->sent()); };
+  to.call_over = [this](std::uint64_t call, CallEnd end) {
+    if (successor_) successor_->send(write_call_over(call, end));
+  };
+  // What the process before this one has out is told through this one.
+  to.told_all = [this] {
+    return handed_in_.empty() && (!successor_ || (successor_->sent() && !predecessor_));
+  };
   const Writer over = relay_->give_over(std::move(to), done_);
   if (fleet_) fleet_->stop();  // the new process is the same member: nothing is said of a leave
   lock_.release();
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -19,6 +19,7 @@
 #include "fleet.h"
 #include "idle_age.h"
 #include "learned.h"
+#include "parameters.h"
 #include "ramp.h"
 #include "recent.h"
 #include "records.h"
@@ -28,73 +29,8 @@
 #include "working_set.h"
 
 namespace vetchhinge {
-namespace {
-
 using namespace std::chrono_literals;
 
-// ------------------------------------------------------------------------------------------ parameters
-// Admission and hold
-constexpr double kRoom = 0.96;          // share of max_open used; beyond it the door shuts blindly (ours)
-constexpr double kHoldShare = 0.4;      // most of that room for one destination's hold (ours)
-constexpr std::size_t kHoldLeast = 4;   // a hold is never bounded under this many messages (ours)
-constexpr double kWaitShare = 0.5;      // refuse when the wait would take this share of the time left (ours)
-constexpr double kHintSpread = 0.5;     // wait hints are spread by this share, both ways (ours)
-constexpr double kOutHint = 0.4;        // hint where all hosts are out by hand, share of the time left (ours)
-constexpr Duration kHintLeast = 300ms;  // least wait hint (ours; the post's 15 s would outlast the work)
-constexpr Duration kUsualMemory = 20s;  // memory of the usual rate of a destination (ours)
-constexpr Duration kTenantMemory = 10s;  // memory of the tenants' shares (ours)
-constexpr double kTenantSlack = 1.15;    // a tenant counts as over its share above this multiple (ours)
-
-// Dispatch
-constexpr int kTimeForUntried =
-    2;  // expected latencies: with less time left it is not put first any more (ours)
-constexpr double kGatherShare = 0.06;  // share of the aim that a batch may wait to fill (ours)
-constexpr double kGuessShare = 0.2;    // latency taken for a destination never seen, share of aim (ours)
-constexpr double kTimeoutP95 = 4.0;    // time-out, multiple of p95 (ours)
-constexpr double kTimeoutAim = 1.0;    // and at least this share of the aim (ours)
-constexpr double kTimeoutOnce = 2.0;   // multiple of that for work that may not be repeated (ours)
-constexpr double kTimeoutShort = 0.6;  // multiple of it where no slot is left (ours)
-constexpr double kWindowShare = 0.6;   // time-out of keyed work, most of the key's window (ours)
-constexpr double kFewRelays = 4.0;     // so few relays may all keep idle connections to a host (ours)
-constexpr double kThriftyFor =
-    4.0;  // time that hosts keep them, multiple: so long a full table counts (ours)
-constexpr double kKeepLatencies = 12.0;  // else kept where calls come within this multiple of latency (ours)
-constexpr double kBatchWeight = 0.1;     // weight of each further message in a call on a cold budget (ours)
-
-// Outcomes and health
-constexpr int kOpenAfter = 4;              // weight of failures in a row that opens a host's circuit (ours)
-constexpr int kFailed = 2;                 // weight of one (ours)
-constexpr int kBroken = 1;                 // and of a call that broke: connections break by chance too (ours)
-constexpr Duration kProbeFirst = 500ms;    // pause of an open circuit (ours)
-constexpr double kProbeJitter = 0.9;       // spread of these pauses, both ways (ours)
-constexpr double kStallP95 = 3.0;          // a call out for this multiple of p95 is overdue (ours)
-constexpr double kStallAim = 0.3;          // and at least this share of the aim (ours)
-constexpr Duration kWaitMargin = 2ms;      // told waits are rounded to whole milliseconds (ours)
-constexpr double kBackoffShare = 0.25;     // first pause, share of own usual time between calls (ours)
-constexpr Duration kBackoffLeast = 250ms;  // and at least so long; at most one aim (ours)
-constexpr double kToldShare = 0.5;         // of such a pause, after a told wait (ours)
-constexpr double kBackoffJitter = 0.5;     // spread of these pauses, both ways (ours)
-constexpr double kTurnShare = 0.5;         // near a limit: most, share of the time between own calls (ours)
-constexpr int kTurnMost = 4;               // and multiple of the aim (ours)
-constexpr int kBackoffDoublings = 3;       // how often it doubles (ours)
-constexpr int kShutRefusals = 3;        // refusals in a row, over kShutSpan, that count as an outage (ours)
-constexpr int kSeldomRefusals = 2;      // the same where fewer than one call comes in kShutSpan (ours)
-constexpr Duration kShutSpan = 2500ms;  // see above; longer than a limit's usual span (ours)
-constexpr double kJitter = 0.25;        // spread of pauses, both ways (ours)
-constexpr double kArrivalShare = 0.7;   // of what arrives, where few calls have been accepted yet (ours)
-constexpr double kOwnLeast = 3.0;    // calls a second of all relays; an own rate is at least its part (ours)
-constexpr double kAgainShare = 0.4;  // of such a pause, rest of a message after a failed attempt (ours)
-constexpr Duration kWindowMargin = 100ms;  // a key's window is held to end so much earlier (ours)
-
-// Expiry, timers
-constexpr Duration kExpiryMargin = 15ms;  // final failure so long before the deadline (ours)
-constexpr Duration kHeartbeat = 20ms;     // between looks at waits and budgets while work is held (ours)
-
-// Calls
-constexpr std::uint64_t kEarlierCall = 1ULL << 63;  // marks those that an earlier process numbered
-
-}  // namespace
-
 class Sender::Impl {
  public:
   explicit Impl(Settings settings)
@@ -242,6 +178,10 @@
     activate(hosts_[h].lane);
   }
 
+  void on(const EarlierCallsOver&) {
+    for (auto& [id, e] : entries_) e.message.earlier_call_open = false;
+  }
+
   void on(const Learned& learned) {
     for (const std::size_t lane : take_up(fleet_, learned, now_)) activate(lane);
   }
@@ -450,7 +390,7 @@
   }
 
   bool may_send(const Entry& e) const {
-    if (e.out > 0 || now_ < e.not_before) return false;
+    if (e.out > 0 || now_ < e.not_before || e.message.earlier_call_open) return false;
     // What timed out alone is still there for as long as the call that carried it stays open for the others.
     if (!e.attempts.empty() && calls_.contains(e.attempts.back().call)) return false;
     return (!e.in_turn || work_.is_next(e, now_)) && may_try(e);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -7,6 +7,9 @@
 namespace myrtlegrade::test {
 namespace {
 
+// A page allows a relay to be held up for so long at any point.
+constexpr const char* kLongestHoldUpMs = "150";
+
 class HandoverTest : public UpgradeTest {
  protected:
   // An endpoint that answers nothing until `released_`, and sees whether a message comes again while an
@@ -65,6 +68,12 @@
     start(with_aims(with_second_address(), note_ms, refund_ms));
   }
 
+  // The shim delays each close of a connection of that process.
+  void hold_up_closes_of_old() {
+    environment_["LD_PRELOAD"] = SHIM;
+    environment_["SOAK_CLOSE_MS"] = kLongestHoldUpMs;
+  }
+
   void start_next(std::optional<Process>& process) {
     const fs::path file = folder_ / "next.json";
     json::object changed = with_aims(with_second_address(), note_ms_, refund_ms_);
@@ -107,6 +116,7 @@
   std::optional<Process> third_;
 };
 
+// One of two messages of a bulk call has timed out when the process gives over, the other one has not: the
 // call is open, and so holds both back.
 TEST_F(HandoverTest, WhatTimedOutInAnOpenBulkCallIsNotRepeated) {
   add_silent_host("b1", 2, "bulk");
@@ -125,6 +135,24 @@
   EXPECT_EQ(count_seen("long"), 1U) << "it may have run, and may not be repeated";
 }
 
+// The same with the call handed over twice: the second process has to know what the first one told it.
+TEST_F(HandoverTest, WhatTimedOutInAnOpenBulkCallIsNotRepeatedByAThirdProcess) {
+  add_silent_host("b1", 2, "bulk");
+  add_silent_host("b2", 2, "bulk");
+  start_old(600, 1400);
+  start_next(new_);
+  ASSERT_TRUE(wait_healthy(new_));
+  ASSERT_EQ(hand_in("short", "note", 2), 202U);
+  ASSERT_EQ(hand_in("long", "refund", 2), 202U);
+  ASSERT_TRUE(wait_seen("short"));
+  process_->signal(SIGTERM);
+  ASSERT_TRUE(wait_log(new_, "took over"));
+  std::this_thread::sleep_for(800ms);  // the first time-out is told by now
+  upgrade(new_, third_);
+  EXPECT_EQ(process_->wait(), 0);
+  expect_repeated_later("short");
+}
+
 // A process with no call of its own is told to end while the one before it still has some.
 TEST_F(HandoverTest, AThirdProcessWaitsForTheFirstOnesCalls) {
   add_silent_host("p1", 3, "plain");
@@ -139,5 +167,92 @@
   expect_repeated_later("m");
 }
 
+// The process that took over is killed; the one started in its place finds the journal alone.
+TEST_F(HandoverTest, AProcessThatIsStartedAnewWaitsForCallsOfAnEarlierOne) {
+  add_silent_host("p1", 3, "plain");
+  add_silent_host("p2", 3, "plain");
+  start_old(2600, 2600);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  upgrade(process_, new_);
+  EXPECT_EQ(end(new_, SIGKILL), 128 + SIGKILL);
+  start_next(third_);
+  expect_repeated_later("m");
+  EXPECT_EQ(process_->wait(), 0);
+}
+
+// The same with the first process stopped: it can't end its calls, and says nothing.
+TEST_F(HandoverTest, AProcessThatIsStartedAnewWaitsForOneThatIsStopped) {
+  add_silent_host("p1", 3, "plain");
+  add_silent_host("p2", 3, "plain");
+  start_old(2600, 2600);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  upgrade(process_, new_);
+  process_->signal(SIGSTOP);
+  EXPECT_EQ(end(new_, SIGKILL), 128 + SIGKILL);
+  start_next(third_);
+  ASSERT_EQ(hand_in("other", "note", 3), 202U) << "it serves meanwhile";
+  std::this_thread::sleep_for(1s);
+  EXPECT_EQ(count_seen("m"), 1U);
+  process_->signal(SIGKILL);
+  EXPECT_EQ(process_->wait(), 128 + SIGKILL);
+  expect_repeated_later("m");
+}
+
+// The old process leaves with a call open, and is held up before it closes the connection.
+TEST_F(HandoverTest, TheEndOfTheOldProcessIsNotTheEndOfItsCalls) {
+  add_silent_host("p1", 3, "plain");
+  add_silent_host("p2", 3, "plain");
+  hold_up_closes_of_old();
+  start_old(6000, 6000);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  upgrade(process_, new_);
+  EXPECT_EQ(process_->wait(), 0);
+  expect_repeated_later("m");
+}
+
+// A time-out is told once the connection is closed, however long that takes.
+TEST_F(HandoverTest, ATimeOutIsNotTheEndOfItsCall) {
+  add_silent_host("p1", 3, "plain");
+  add_silent_host("p2", 3, "plain");
+  hold_up_closes_of_old();
+  start_old(700, 700);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  upgrade(process_, new_);
+  EXPECT_EQ(process_->wait(), 0);
+  expect_repeated_later("m");
+}
+
+// The old process is killed while another stands by: the lock on the folder is free before its connections
+// are closed. Not forced: the kernel's order decides.
+TEST_F(HandoverTest, WhatTheKilledProcessHadOutIsRepeatedOnceItsConnectionsAreClosed) {
+  add_silent_host("p1", 3, "plain");
+  add_silent_host("p2", 3, "plain");
+  start_old(6000, 6000);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  start_next(new_);
+  ASSERT_TRUE(wait_healthy(new_));
+  EXPECT_EQ(end(process_, SIGKILL), 128 + SIGKILL);
+  expect_repeated_later("m");
+}
+
+// A connection that comes up after the hand-over carries nothing: bans, waits and lists are told to the new
+// process alone.
+TEST_F(HandoverTest, NothingNewLeavesAProcessThatHasGivenOver) {
+  FullBacklog late;
+  list_host("late", 3, "plain", late.address());
+  start_old(2600, 2600);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  std::this_thread::sleep_for(100ms);  // it is connecting by now
+  upgrade(process_, new_);
+  EXPECT_EQ(call(new_->second_address(), "OFFLINE late"), "ACK");
+  EXPECT_EQ(late.connections_with_bytes(2s), 0U);
+  EXPECT_EQ(process_->wait(), 0);
+}
+
 }  // namespace
 }  // namespace myrtlegrade::test
--- a/tests/host_client_test.cpp
+++ b/tests/host_client_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,22 +26,29 @@
   HostClientTest()
       : acceptor_(context_, tcp::endpoint(boost::asio::ip::make_address("127.0.0.1"), 0)),
         address_(acceptor_.local_endpoint()),
-        client_(context_.get_executor(),
-                {.connect_timeout = 20s,
-                 .idle = 10s,
-                 .most_idle = 8,
-                 .most = 12,
-                 .reports = true,
-                 .before_last_byte = [this](const std::vector<CallItem>&) { return may_leave_; }},
-                [this](HostId, const CallItem& item, const CallResult& result) {
-                  results_.emplace_back(item.message, result);
-                }) {}
+        client_(
+            context_.get_executor(),
+            {.connect_timeout = 20s,
+             .idle = 10s,
+             .most_idle = 8,
+             .most = 12,
+             .reports = true,
+             .before_last_byte = [this](const std::vector<CallItem>&) { return may_leave_; }},
+            [this](HostId, const CallItem& item, const CallResult& result) {
+              results_.emplace_back(item.message, result);
+            },
+            [this](std::uint64_t number, CallEnd end) { over_.emplace_back(number, end); }) {}
 
   CallItem item(std::uint32_t id, vetchhinge::Duration timeout = 20s, std::size_t body = 5) {
     auto payload = std::make_shared<const Payload>(Payload{std::to_string(id), "", std::string(body, 'x')});
     return {MessageId(id), 0, payload, steady_time() + timeout};
   }
-  void call(std::vector<CallItem> items) { client_.call(HostId(1), address_, std::move(items)); }
+  void call(std::vector<CallItem> items) { client_.call(++calls_, HostId(1), address_, std::move(items)); }
+  void TearDown() override {
+    std::set<std::uint64_t> numbers;
+    for (const auto& [number, end] : over_) EXPECT_TRUE(numbers.insert(number).second) << "over twice";
+    EXPECT_EQ(client_.calls_out() + over_.size(), calls_) << "each call is over once, or still out";
+  }
 
   // Runs the client until the condition holds; false after a time that only a fault can take.
   template <typename Condition>
@@ -81,10 +89,48 @@
   tcp::acceptor acceptor_;
   tcp::endpoint address_;
   std::vector<std::pair<MessageId, CallResult>> results_;
+  std::vector<std::pair<std::uint64_t, CallEnd>> over_;
+  std::uint64_t calls_ = 0;
   bool may_leave_ = true;
   HostClient client_;
 };
 
+// The last time-out of a call is told once its connection is closed; before that the call is not over.
+TEST_F(HostClientTest, ABulkCallIsOverOnceItsConnectionIsClosed) {
+  call({item(1, 50ms), item(2, 300ms)});
+  tcp::socket host = accept();
+  read_head(host);
+  ASSERT_TRUE(run_until([&] { return results_.size() == 1; }));
+  EXPECT_EQ(results_[0].second.result, Result::timed_out);
+  EXPECT_TRUE(over_.empty()) << "the other one still waits on that connection";
+  ASSERT_TRUE(run_until([&] { return results_.size() == 2; }));
+  char bytes[4096];
+  while (::recv(host.native_handle(), bytes, sizeof bytes, MSG_DONTWAIT) > 0) {
+  }
+  EXPECT_EQ(errno, ECONNRESET) << "closed before it is told";
+  ASSERT_TRUE(run_until([&] { return !over_.empty(); }));
+  EXPECT_EQ(over_[0].second, CallEnd::timed_out);
+}
+
+// A process that gives over lets nothing leave that has not left; what has goes on.
+TEST_F(HostClientTest, WhatHasNotLeftIsWithheldAtOnce) {
+  call({item(1)});
+  tcp::socket host = accept();
+  read_head(host);
+  ::listen(acceptor_.native_handle(), 0);
+  call({item(2)});
+  client_.withhold_all();
+  ASSERT_EQ(results_.size(), 1U);
+  EXPECT_EQ(results_[0].first, MessageId(2));
+  EXPECT_EQ(results_[0].second.result, Result::not_sent);
+  ASSERT_EQ(over_.size(), 1U);
+  EXPECT_EQ(over_[0].second, CallEnd::withheld);
+  client_.cut_all();
+  ASSERT_EQ(results_.size(), 2U);
+  EXPECT_EQ(results_[1].second.result, Result::cancelled);
+  EXPECT_TRUE(run_until([&] { return client_.calls_out() == 0; }));
+}
+
 // A wait or a drain that is told while a connection is still coming up must stop the call that waits for it.
 TEST_F(HostClientTest, ACallThatStillConnectsIsWithheld) {
   // A full backlog: further connections stay half open.
@@ -153,7 +199,7 @@
   EXPECT_EQ(results_.at(1).second.result, Result::reset);
   EXPECT_GT(results_[1].second.connection.idle, 0us) << "the kept one";
   acceptor_.close();
-  client_.call(HostId(1), address_, {item(3)});
+  call({item(3)});
   ASSERT_TRUE(run_until([&] { return client_.calls_out() == 0; }));
   EXPECT_EQ(results_.at(2).second.result, Result::connect_failed);
   EXPECT_FALSE(results_[2].second.connection.established);
@@ -181,13 +227,15 @@
 // What breaks a connection as it comes up, or as the request comes, is seen before the last byte: work that
 // may not be repeated has not run, and may go out again.
 TEST_F(HostClientTest, AConnectionThatDoesNotStandItsFirstBytesRanNothing) {
-  HostClient patient(context_.get_executor(), {20s, 10s, 8, 12, true, 20s},
-                     [this](HostId, const CallItem& item, const CallResult& result) {
-                       results_.emplace_back(item.message, result);
-                     });
+  HostClient patient(
+      context_.get_executor(), {20s, 10s, 8, 12, true, 20s},
+      [this](HostId, const CallItem& item, const CallResult& result) {
+        results_.emplace_back(item.message, result);
+      },
+      [](std::uint64_t, CallEnd) {});
   CallItem careful = item(1);
   careful.prove = true;
-  patient.call(HostId(1), address_, {careful});
+  patient.call(1, HostId(1), address_, {careful});
   tcp::socket host = accept();
   read_head(host);
   EXPECT_TRUE(results_.empty());
--- a/tests/list_test.cpp
+++ b/tests/list_test.cpp
@@ -88,7 +88,10 @@
   vetchhinge::drill::Dialect dialect_;
   vetchhinge::Settings settings_;
   Journal journal_{folder_.string(), 1'000'000};
-  HostClient client_{context_.get_executor(), {}, [](HostId, const CallItem&, const CallResult&) {}};
+  HostClient client_{context_.get_executor(),
+                     {},
+                     [](HostId, const CallItem&, const CallResult&) {},
+                     [](std::uint64_t, CallEnd) {}};
   Endpoints endpoints_{dialect_, settings_, journal_, client_};
   catalog::ListReader reader_;
   Endpoints::Events events_;
