Give a host with a limit of its own its part of what arrives, not all of it

Traced (PROXY_TRACE and cold budgets on a scratch copy): routes there are apart, and each relay took 0.7 of all that arrives for the destination as what each single route used to get; the smaller route was told a limit of 7 to 10 calls a second and the sum of the relays' estimates was about 20. Line at fault: Sender::Impl::asked() in policy.cpp. Change: arrivals are shared among the routes that are apart. The new test, on virtual time, fails without it (45 calls, 41.7 borne). Cold and FleetLimit tests pass.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -714,8 +714,11 @@
         {l.usual_before, l.usual_calls.per_second(now_, kRateLeast), asked(l), kOwnLeast / s_.relays});
   }
 
+  // Where routes are apart each gets its part of what arrives: what one can take is not what all can.
   double asked(const Lane& l) {
-    return kArrivalShare * destinations_[l.destination].arrivals.per_second(now_, kRateLeast);
+    Destination& d = destinations_[l.destination];
+    const double arrivals = d.arrivals.per_second(now_, kRateLeast);
+    return kArrivalShare * arrivals / static_cast<double>(d.lanes.size());
   }
 
   // The same, the surer the more calls tell of it: cold budgets in proportion to it bound the relays' sum.
