--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -240,6 +240,24 @@
   expect_repeated_later("m");
 }
 
+// The configuration is read anew between the start of the new process and the hand-over: the old process
+// alone was told, and the new one has read the file before.
+TEST_F(HandoverTest, TheNewProcessAsksTheServiceThatTheOldOneWasToldOf) {
+  add_silent_host("p1", 3, "plain");
+  start_old(1000, 1000);
+  start_next(new_);
+  ASSERT_TRUE(wait_healthy(new_));
+  json::object moved = with_aims(with_second_address(), 1000, 1000);
+  moved["discovery"] = moved_->address();
+  reload(json::serialize(moved));
+  ASSERT_TRUE(wait_asked("moved", "/catalog/members"));
+  watched_.change([this] { asked_.clear(); });
+  process_->signal(SIGTERM);
+  ASSERT_TRUE(wait_log(new_, "took over"));
+  EXPECT_TRUE(wait_asked("moved", "/catalog/members"));
+  EXPECT_TRUE(watched_.read([this] { return asked_["first"].empty(); }));
+}
+
 // A connection that comes up after the hand-over carries nothing: bans, waits and lists are told to the new
 // process alone.
 TEST_F(HandoverTest, NothingNewLeavesAProcessThatHasGivenOver) {
