Tell the new process of a configuration that the old one has read since

Seen: HandoverTest.TheNewProcessAsksTheServiceThatTheOldOneWasToldOf. A new process reads its configuration as it starts and stands by; a SIGHUP that reaches the old one alone moved the old one's discovery, and the new one asked the former service. Lines at fault: Succession::reload(), which told nobody. Change: the old process tells when it read its file last and where that says discovery is, as the link opens and at each reload; the new one takes it where that is newer than its own reading.

--- /dev/null
+++ b/lab/drive_processes.cpp
@@ -0,0 +1,237 @@
+// The relays' processes of drive(): started, told to end, killed, upgraded, reloaded.
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+#include "drive_parts.h"
+
+namespace valedrum::lab {
+
+namespace fs = std::filesystem;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+using vetchhinge::HostState;
+
+namespace {
+
+constexpr auto kReadyWithin = 10s;
+constexpr Duration kKillAfter = 3700ms;   // after SIGTERM, the page's earliest
+constexpr Duration kBackAfter = 600ms;    // after the end
+constexpr Duration kServesWithin = 6s;    // of an upgrade's new process
+constexpr Duration kSecondSignal = 50ms;  // after the first one
+constexpr Duration kLook = 20ms;
+constexpr Duration kCallWithin = 1s;        // of an operator's call
+constexpr Duration kOldServiceEnds = 1500ms;  // after the configuration names another one
+
+double ms(double seconds) { return seconds * 1000; }
+
+}  // namespace
+
+// --------------------------------------------------------------------------------------------- relays
+
+json::object Drive::relay_config(std::uint32_t relay) const {
+  const RelayProcess& r = relays_[relay];
+  const RelaySpec& spec = day_.relays[relay];
+  const FleetSpec& f = day_.scenario.fleet;
+  const auto text = [](const tcp::endpoint& e) {
+    return e.address().to_string() + ":" + std::to_string(e.port());
+  };
+  json::array classes, kinds, apart, batch, zones;
+  for (const ClassSpec& c : day_.scenario.classes) {
+    const char* const effects[] = {"idempotent", "deduplicated", "at_most_once"};
+    classes.push_back({{"name", c.name},
+                       {"aim", ms(c.aim)},
+                       {"deadline", ms(c.deadline)},
+                       {"worth", c.worth},
+                       {"lateWorth", c.late_worth},
+                       {"idempotency", effects[static_cast<int>(c.effect)]},
+                       {"window", ms(c.window)},
+                       {"keyScope", "all"}});
+  }
+  for (const KindSpec& k : day_.scenario.kinds) {
+    kinds.emplace_back(k.name);
+    apart.emplace_back(false);
+    batch.emplace_back(k.batch);
+  }
+  const json::object settings{
+      {"allowed",
+       {{"maxOpen", spec.max_open},
+        {"maxAttempts", f.attempts},
+        {"retryAfter", true},
+        {"maxRetryAfter", ms(f.max_wait_hint)},
+        {"connIdle", ms(f.connection_idle)},
+        {"connectTimeout", ms(f.connect_timeout)}}},
+      {"familyInfo",
+       {{"workers", spec.slots}, {"losesWorth", "linear"}, {"kindApart", apart}, {"kindBatch", batch}}},
+      {"rules",
+       {{"startCapacity", f.start_capacity},
+        {"overloadFactor", f.overload_factor},
+        {"overloadFor", ms(f.overload_for)},
+        {"warmAfter", ms(f.warm_after)}}},
+      {"balancers", f.relays},
+      {"classes", classes},
+      {"hostTypes", kinds},
+      {"discovery", "automatic"},
+      {"overShareWorth", 0.1},
+      {"stats", {{"fields", json::array{"x0", "x1"}}}},
+      {"tick", ms(f.tick)},
+      {"weights", "rough"},
+      {"zone", "z" + std::to_string(spec.zone)}};
+  std::int64_t version = 0;
+  char seed[24];
+  std::snprintf(seed, sizeof seed, "%016llx",
+                static_cast<unsigned long long>(day_.settings(relay, r.start).seed));
+  json::object config{{"name", relay_name(relay)},
+                      {"listen", text(r.address)},
+                      {"discovery", text(r.agent)},
+                      {"seed", seed},
+                      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", 8}}},
+                      {"known", json::parse(list(relay, 0, r.ended, version))},
+                      {"settings", settings}};
+  if (options_.fleet) {
+    config["admin_addr"] = text(r.admin);
+    config["fleet"] = fleet_config(relay);
+    if (options_.copies > 0) config["copies"] = copies_config(relay);
+  }
+  return config;
+}
+
+void Drive::write_config(std::uint32_t relay) {
+  std::ofstream(relays_[relay].folder + "/config.json") << json::serialize(relay_config(relay));
+}
+
+std::unique_ptr<Child> Drive::spawn_relay(std::uint32_t relay) {
+  const RelayProcess& r = relays_[relay];
+  const auto text = [](const tcp::endpoint& e) {
+    return e.address().to_string() + ":" + std::to_string(e.port());
+  };
+  std::map<std::string, std::string> environment = options_.environment;
+  environment.insert({{"PROXY_NAME", relay_name(relay)},
+                      {"PROXY_LISTEN", text(r.address)},
+                      {"PROXY_DISCOVERY", text(r.agent)},
+                      {"PROXY_STATE", r.folder + "/state"},
+                      {"PROXY_CONFIG", r.folder + "/config.json"}});
+  return std::make_unique<Child>(options_.program, environment, r.folder + "/log");
+}
+
+std::unique_ptr<Child> Drive::spawn(const std::string& folder, const json::object& config) {
+  std::ofstream(folder + "/config.json") << json::serialize(config);
+  return std::make_unique<Child>(
+      options_.program,
+      std::map<std::string, std::string>{{"PROXY_STATE", folder + "/state"},
+                                         {"PROXY_CONFIG", folder + "/config.json"}},
+      folder + "/log");
+}
+
+void Drive::start_relay(std::uint32_t relay) {
+  RelayProcess& r = relays_[relay];
+  fs::create_directories(r.folder + "/state");
+  ++r.start;
+  ++result_.starts;
+  r.up = r.to_end = r.stalled = false;
+  write_config(relay);
+  r.child.reset();
+  r.child = spawn_relay(relay);
+  // From now on it may send what its folder holds, by the list that it had and what its agent says.
+  for (std::uint32_t h = 0; h < hosts_.size(); ++h) {
+    see({.what = What::listed, .relay = relay, .host = h, .state = r.told[h]});
+  }
+  go(await_ready(relay, r.start));
+}
+
+asio::awaitable<void> Drive::await_ready(std::uint32_t relay, unsigned start) {
+  RelayProcess& r = relays_[relay];
+  for (const auto until = std::chrono::steady_clock::now() + kReadyWithin; r.start == start && !r.to_end;) {
+    tcp::socket socket(context_);
+    boost::system::error_code error;
+    co_await socket.async_connect(r.address, asio::redirect_error(asio::use_awaitable, error));
+    http::response<http::string_body> response;
+    if (!error) {
+      const http::request<http::empty_body> ask(http::verb::get, "/_health", 11);
+      co_await http::async_write(socket, ask, asio::redirect_error(asio::use_awaitable, error));
+      boost::beast::flat_buffer buffer;
+      if (!error)
+        co_await http::async_read(socket, buffer, response, asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (r.start != start) co_return;
+    if (!error && response.result_int() == 200) {
+      r.up = true;
+      r.runs_from = now();
+      see({.what = What::ready, .relay = relay});
+      co_return;
+    }
+    if (std::chrono::steady_clock::now() > until || r.child->ended()) {
+      throw std::runtime_error("relay " + std::to_string(relay) + " doesn't get ready; its log is " +
+                               r.folder + "/log");
+    }
+    co_await sleep(20ms);
+  }
+}
+
+void Drive::kill_relay(std::uint32_t relay, bool kept) {
+  RelayProcess& r = relays_[relay];
+  const bool was_up = std::exchange(r.up, false);
+  r.ended = now();
+  r.to_end = true;
+  ++r.start;
+  r.child.reset();
+  r.idle.clear();
+  // What is copied is with others: nobody hands it in again.
+  const bool copied = options_.copies > 0;
+  if (was_up) see({.what = What::died, .relay = relay, .kept = kept || copied});
+  if (!kept && last_loss_ == Time::min()) last_loss_ = now();
+  if (kept) return;
+  // Its machine is gone, and with it what it had taken: that is with its clients again.
+  fs::remove_all(r.folder + "/state");
+  if (copied) return;
+  for (auto& [id, m] : messages_) {
+    if (m.relay != relay || m.over || !m.taken || m.orphan) continue;
+    m.orphan = true;
+    const Clients::Request& request = clients_[m.request];
+    const bool once = day_.scenario.classes[request.cls].effect == vetchhinge::Effect::at_most_once;
+    if (once && m.attempts > 0) {
+      clients_.failed(m.request, false, now());
+    } else {
+      ++counts_.messages_handed_over;
+      go(hand_in_later(m.request, clients_.again(), true));
+    }
+  }
+}
+
+// SIGTERM, SIGKILL where that does not end it in time, and a new start.
+asio::awaitable<void> Drive::end_relay(std::uint32_t relay, Duration back_after) {
+  RelayProcess& r = relays_[relay];
+  if (!r.child || r.to_end) co_return;
+  const Time told_at = now();
+  const unsigned start = r.start;
+  r.to_end = true;
+  r.up = false;  // clients that have a connection go on using it; new ones go elsewhere
+  see({.what = What::leaving, .relay = relay});
+  r.child->signal(SIGTERM);
+  while (now() < told_at + kKillAfter && !r.child->ended()) co_await sleep(20ms);
+  if (r.start != start) co_return;
+  see({.what = What::died, .relay = relay, .kept = true});
+  r.idle.clear();
+  r.ended = now();
+  r.child.reset();
+  co_await sleep(kBackAfter);
+  co_await sleep_until(told_at + back_after);
+  if (r.start == start && !over_) start_relay(relay);
+}
+
+// The configuration is the same: what is at stake is a reload beside all that happens meanwhile.
+asio::awaitable<void> Drive::reload_relays() {
+  for (std::uint32_t next = 0; !over_; next = (next + 1) % relays_.size()) {
+    co_await sleep(span(*options_.reload_every));
+    RelayProcess& r = relays_[next];
+    if (!over_ && r.child && r.up) r.child->signal(SIGHUP);
+  }
+}
+
+}  // namespace valedrum::lab
--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -173,6 +173,7 @@
 Config load_config(ConfigText::Known known) {
   const std::string path = environment("PROXY_CONFIG");
   const std::string state_folder = environment("PROXY_STATE");
+  const auto read_at = std::chrono::steady_clock::now();
   std::ifstream file(path, std::ios::binary);
   ConfigText source(known);
   std::vector<char> piece(kReadSize);
@@ -183,6 +184,7 @@
   if (!file.eof()) throw std::invalid_argument("PROXY_CONFIG: cannot read " + path);
   Config config = parse(source, state_folder, own_descriptors());
   const char* admin = std::getenv("PROXY_ADMIN_ADDR");
+  config.read_at = read_at;
   if (!config.admin && admin && *admin) config.admin = parse_endpoint(admin, "PROXY_ADMIN_ADDR");
   return config;
 }
--- a/relay/config.h
+++ b/relay/config.h
@@ -1,6 +1,7 @@
 // What a relay is told at its start.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <limits>
@@ -34,6 +35,7 @@
   vetchhinge::Settings settings;
   vetchhinge::Duration connect_timeout{};
   vetchhinge::drill::Dialect dialect;
+  std::chrono::steady_clock::time_point read_at{};  // when the file was opened
   std::shared_ptr<WholeList> known;  // the list of hosts as this relay last had it; whoever needs it takes it
 };
 
--- a/relay/frames.cpp
+++ b/relay/frames.cpp
@@ -161,6 +161,18 @@
   return out.number(call).number(static_cast<std::uint64_t>(end));
 }
 
+Writer write_reloaded(const Reloaded& reloaded) {
+  Writer out(Frame::reloaded);
+  return out.time(steady_time(reloaded.read_at)).text(text_of(reloaded.discovery));
+}
+
+std::optional<Reloaded> read_reloaded(Reader& in) {
+  const Time read_at = in.time<Time>();
+  const auto address = catalog::parse_address(in.text());
+  if (!in.good || !address) return std::nullopt;
+  return Reloaded{std::chrono::steady_clock::time_point(read_at.time_since_epoch()), to_endpoint(*address)};
+}
+
 Writer write_hand_in(std::uint64_t token, const HandIn& m) {
   Writer out(Frame::hand_in);
   out.number(token).text(m.id).text(m.cls).number(m.destination).text(m.key).text(m.body).span(m.time_left);
--- a/relay/frames.h
+++ b/relay/frames.h
@@ -1,6 +1,7 @@
 // What an old process and the new one say to each other. A change of any form here changes kLinkVersion.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -32,6 +33,7 @@
   call,       // a line that came to the second address of the one that is not the relay
   reply,      // its answer
   returned,   // no answer: the one that asked is the relay itself by now
+  reloaded,   // old to new: when it read its configuration last, and where that says discovery is
   call_over,  // a call that was out then: its connection is closed, or its whole answer has come
 };
 
@@ -72,6 +74,13 @@
 
 Writer write_call_over(std::uint64_t call, CallEnd end);
 
+struct Reloaded {
+  std::chrono::steady_clock::time_point read_at{};
+  Endpoint discovery;
+};
+Writer write_reloaded(const Reloaded& reloaded);
+std::optional<Reloaded> read_reloaded(Reader& in);
+
 Writer write_hand_in(std::uint64_t token, const HandIn& message);
 HandIn read_hand_in(Reader& in);
 
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -94,12 +94,28 @@
 
 void Succession::reload(const Config& config) {
   config_.discovery = config.discovery;
+  config_.read_at = config.read_at;
+  tell_reloaded();
   if (relay_ && !given_over_) relay_->move_discovery(config.discovery);
   if (!config_.fleet || !config.fleet) return;  // on or off, and where, is settled at the start
   config_.fleet->settings.seeds = config.fleet->settings.seeds;
   if (fleet_) fleet_->reseed(config.fleet->settings.seeds);
 }
 
+// The new process may have read the file before it was replaced, and not be told to read it again.
+void Succession::tell_reloaded() {
+  if (successor_) successor_->send(write_reloaded({config_.read_at, config_.discovery}));
+}
+
+void Succession::heard_reloaded(Reader& in) {
+  const auto other = read_reloaded(in);
+  if (!other || other->read_at <= config_.read_at) return;
+  config_.read_at = other->read_at;
+  if (other->discovery == config_.discovery) return;
+  config_.discovery = other->discovery;
+  if (relay_ && !given_over_) relay_->move_discovery(config_.discovery);
+}
+
 // ------------------------------------------------------------------------------------- which one
 
 // False while another process is the relay, or the address is not free yet.
@@ -248,6 +264,8 @@
     predecessor_->send(Writer(Frame::prepared));
   } else if (kind == Frame::reply || kind == Frame::returned) {
     replied(in, kind == Frame::returned);
+  } else if (kind == Frame::reloaded) {
+    heard_reloaded(in);
   } else if (!relay_) {
     return;
   } else if (kind == Frame::outcome) {
@@ -299,6 +317,7 @@
 asio::awaitable<void> Succession::attend(Links link) {
   if (link->send_descriptor(relay_->listening_descriptor())) {
     link->send(Writer(Frame::hello).number(kLinkVersion));
+    tell_reloaded();
     for (auto frame = co_await link->receive(); frame && link == successor_;
          frame = co_await link->receive()) {
       heard_from_successor(*frame);
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -59,6 +59,8 @@
   void heard_from_successor(const std::string& frame);
   void give_over();
   void leave_alone();
+  void tell_reloaded();
+  void heard_reloaded(Reader& in);
   void tell_usage();
 
   void called(const std::string& line, const AdminServer::Reply& reply);
