Play upgrades, bans, crowds, bulk calls and moved discovery in the soak

Need: the incident was out of the soak's reach: it played no upgrade, ban or bulk call, and clients left a process at its SIGTERM.

--- a/lab/drive.cpp
+++ b/lab/drive.cpp
@@ -77,7 +77,8 @@
   for (const Fault& f : day.faults) {
     refuse(f.kind != FaultKind::clock, std::string(name_of(f.kind)) + ": needs the emulator");
     const bool between = f.kind == FaultKind::upgrade || f.kind >= FaultKind::split;
-    refuse(options.fleet || !between, std::string(name_of(f.kind)) + ": needs --fleet");
+    refuse(options.fleet || (options.second_address && f.kind == FaultKind::upgrade) || !between,
+           std::string(name_of(f.kind)) + ": needs --fleet");
   }
   refuse(::access(options.program.c_str(), X_OK) == 0, options.program + ": is no program");
   for (std::size_t p = 0; p < day.partners.size(); ++p) partners_.emplace_back(day, p, day.seed);
@@ -92,9 +93,7 @@
     listen(h);
   }
   for (std::uint32_t r = 0; r < relays_.size(); ++r) {
-    const auto agent_acceptor = std::make_shared<tcp::acceptor>(context_, tcp::endpoint(address(20 + r), 0));
-    relays_[r].agent = agent_acceptor->local_endpoint();
-    go(agent(r, agent_acceptor));
+    open_agent(r);
     relays_[r].address = {address(r), 7070};
     relays_[r].admin = {address(r), 7171};
     relays_[r].folder = options.folder + "/relay-" + std::to_string(r);
@@ -332,6 +331,15 @@
   go(send_messages());
   go(play_faults());
   if (options_.reload_every) go(reload_relays());
+  if (options_.upgrades) {
+    const double part = options_.upgrades->part * static_cast<double>(relays_.size());
+    for (std::uint32_t r = 0; r < part; ++r) go(upgrade_series(r, *options_.upgrades));
+  }
+  if (options_.ban) go(play_ban(*options_.ban));
+  if (options_.discovery_moves) go(move_discovery(*options_.discovery_moves));
+  if (options_.crowd) {
+    for (std::uint32_t r = 0; r < relays_.size(); ++r) crowd_around(r);
+  }
   go(watch_clock());
   go(count_seconds());
   if (wire_) go(watch_fleet());
@@ -346,7 +354,10 @@
   }
   over_ = true;
   if (failure_.empty() && !stopping()) checker_.finish(last);
-  for (RelayProcess& r : relays_) r.child.reset();
+  for (RelayProcess& r : relays_) {
+    r.child.reset();
+    r.earlier.clear();
+  }
   twin_.reset();
   if (!failure_.empty()) throw std::runtime_error(failure_);
   counts_.stopped = stopping();
--- a/lab/drive_clients.cpp
+++ b/lab/drive_clients.cpp
@@ -66,7 +66,11 @@
   if (clients_[request].over || over_) co_return;
   RelayProcess& node = relays_[relay];
   const Duration again = clients_.again();
-  if (!node.up) co_return co_await hand_in_later(request, again, true);
+  // New connections go elsewhere; the open ones are used until the process is killed.
+  const bool only_kept = !node.up;
+  if (only_kept && (!node.to_end || node.idle.empty()))
+    co_return co_await hand_in_later(request, again, true);
+  const unsigned start = node.start;
   Clients::Request& r = clients_[request];
   ++r.tries;
   r.relay = relay;
@@ -109,6 +113,9 @@
     if (kept) {
       socket = std::move(node.idle.back());
       node.idle.pop_back();
+    } else if (!node.up) {
+      error = asio::error::connection_refused;  // nobody sends it there anew
+      break;
     } else {
       socket = std::make_unique<tcp::socket>(context_);
       co_await socket->async_connect(node.address, asio::redirect_error(asio::use_awaitable, error));
@@ -125,13 +132,16 @@
   limit.cancel();
   Message& sent = messages_.at(id);
   if (sent.orphan) co_return;
-  if (error ||
+  // An earlier process may still answer where the one that had taken over was killed: for the checker the
+  // message had gone with that.
+  const bool killed = node.start != start;
+  if (error || killed ||
       !socket->is_open()) {  // not heard: what still comes of it under this number counts for nothing
     sent.orphan = true;
     see({.what = What::moved, .relay = relay, .message = id});
     co_return co_await hand_in_later(request, again, true);
   }
-  if (response.keep_alive() && node.up) node.idle.push_back(std::move(socket));
+  if (response.keep_alive() && (node.up || node.to_end)) node.idle.push_back(std::move(socket));
   const unsigned status = response.result_int();
   if (status == 200 || status == 202) {
     sent.taken = true;
@@ -231,6 +241,7 @@
     auto socket = std::make_shared<tcp::socket>(context_);
     co_await acceptor->async_accept(*socket, asio::redirect_error(asio::use_awaitable, error));
     if (error) co_return;
+    relays_[relay].agent_sessions.push_back(socket);
     go(agent_session(relay, std::move(socket)));
   }
 }
--- a/lab/drive_parts.h
+++ b/lab/drive_parts.h
@@ -55,6 +55,7 @@
   };
   struct RelayProcess {
     std::unique_ptr<Child> child;
+    std::vector<std::shared_ptr<Child>> earlier;  // processes that were told to end as this one took over
     tcp::endpoint address, agent, admin;
     std::string folder;
     unsigned start = 0;
@@ -66,8 +67,11 @@
     std::optional<boost::json::object> view;         // of the fleet, as it said last
     std::map<std::uint32_t, bool> buried;            // whom it holds for dead
     std::vector<std::unique_ptr<tcp::socket>> idle;  // clients' connections
-    std::vector<vetchhinge::HostState> told;         // by host
-    std::vector<std::size_t> told_change;            // by host: the newest that it knows
+    std::shared_ptr<tcp::acceptor> agent_acceptor;
+    std::vector<std::weak_ptr<tcp::socket>> agent_sessions;
+    std::optional<std::uint32_t> banned;      // endpoint that is out by hand
+    std::vector<vetchhinge::HostState> told;  // by host
+    std::vector<std::size_t> told_change;     // by host: the newest that it knows
   };
   struct Standin {  // an endpoint
     Endpoint endpoint;
@@ -77,7 +81,7 @@
     vetchhinge::HostState state = vetchhinge::HostState::running;
   };
 
-  // ------------------------------------------------------------------ drive.cpp
+  // ------------------------------------------------------------------ drive.cpp and drive_processes.cpp
   Time now() const;
   void see(Observation o);
   asio::awaitable<void> sleep(Duration span);
@@ -89,6 +93,14 @@
   asio::awaitable<void> await_ready(std::uint32_t relay, unsigned start);
   asio::awaitable<void> end_relay(std::uint32_t relay, Duration back_after);
   asio::awaitable<void> reload_relays();
+  asio::awaitable<bool> replace_relay(std::uint32_t relay);
+  asio::awaitable<void> end_earlier(std::uint32_t relay, std::shared_ptr<Child> old);
+  asio::awaitable<void> upgrade_relay(std::uint32_t relay);
+  asio::awaitable<void> upgrade_series(std::uint32_t relay, UpgradeSeries series);
+  asio::awaitable<void> play_ban(EndpointBan ban);
+  asio::awaitable<void> call_until_acked(std::uint32_t relay, std::uint32_t host, bool out, Time until);
+  asio::awaitable<void> move_discovery(double at);
+  void open_agent(std::uint32_t relay);
   asio::awaitable<void> play_faults();
   asio::awaitable<void> play(const Fault& f);
   asio::awaitable<void> watch_clock();
@@ -99,6 +111,10 @@
   std::unique_ptr<Child> spawn(const std::string& folder, const boost::json::object& config);
   bool stopping() const { return options_.stop && options_.stop->load(); }
 
+  // ------------------------------------------------------------------ drive_crowd.cpp
+  void crowd_around(std::uint32_t relay);
+  asio::awaitable<void> loiter(std::uint32_t relay, bool half_way);
+
   // ------------------------------------------------------------------ drive_partners.cpp
   void listen(std::uint32_t host);
   asio::awaitable<void> accept(std::uint32_t host);
@@ -139,7 +155,6 @@
   std::string view_trouble();
   void judge_burial(std::uint32_t by, std::uint32_t of, bool dead);
   asio::awaitable<void> watch_fleet();
-  asio::awaitable<void> upgrade_relay(std::uint32_t relay);
   asio::awaitable<void> start_twin(const Fault& fault);
 
   const Day& day_;
--- a/lab/drive_processes.cpp
+++ b/lab/drive_processes.cpp
@@ -26,7 +26,10 @@
 constexpr Duration kServesWithin = 6s;    // of an upgrade's new process
 constexpr Duration kSecondSignal = 50ms;  // after the first one
 constexpr Duration kLook = 20ms;
-constexpr Duration kCallWithin = 1s;        // of an operator's call
+// After its SIGTERM an old process has handed over. One that is stopped before that still owes what it has,
+// and nobody else can answer for it.
+constexpr Duration kGivenOverBy = 100ms;
+constexpr Duration kCallWithin = 1s;          // of an operator's call
 constexpr Duration kOldServiceEnds = 1500ms;  // after the configuration names another one
 
 double ms(double seconds) { return seconds * 1000; }
@@ -87,15 +90,16 @@
   char seed[24];
   std::snprintf(seed, sizeof seed, "%016llx",
                 static_cast<unsigned long long>(day_.settings(relay, r.start).seed));
-  json::object config{{"name", relay_name(relay)},
-                      {"listen", text(r.address)},
-                      {"discovery", text(r.agent)},
-                      {"seed", seed},
-                      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}, {"disk_mb", 8}}},
-                      {"known", json::parse(list(relay, 0, r.ended, version))},
-                      {"settings", settings}};
+  json::object config{
+      {"name", relay_name(relay)},
+      {"listen", text(r.address)},
+      {"discovery", text(r.agent)},
+      {"seed", seed},
+      {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", options_.sockets}, {"disk_mb", 8}}},
+      {"known", json::parse(list(relay, 0, r.ended, version))},
+      {"settings", settings}};
+  if (options_.fleet || options_.second_address) config["admin_addr"] = text(r.admin);
   if (options_.fleet) {
-    config["admin_addr"] = text(r.admin);
     config["fleet"] = fleet_config(relay);
     if (options_.copies > 0) config["copies"] = copies_config(relay);
   }
@@ -188,6 +192,8 @@
   if (!kept && last_loss_ == Time::min()) last_loss_ = now();
   if (kept) return;
   // Its machine is gone, and with it what it had taken: that is with its clients again.
+  r.earlier.clear();
+  if (r.banned) r.told[*std::exchange(r.banned, std::nullopt)] = HostState::running;
   fs::remove_all(r.folder + "/state");
   if (copied) return;
   for (auto& [id, m] : messages_) {
@@ -214,7 +220,12 @@
   r.up = false;  // clients that have a connection go on using it; new ones go elsewhere
   see({.what = What::leaving, .relay = relay});
   r.child->signal(SIGTERM);
-  while (now() < told_at + kKillAfter && !r.child->ended()) co_await sleep(20ms);
+  if (options_.signals_twice) {
+    co_await sleep(kSecondSignal);
+    if (r.start != start) co_return;
+    r.child->signal(SIGTERM);
+  }
+  while (now() < told_at + kKillAfter && !r.child->ended()) co_await sleep(kLook);
   if (r.start != start) co_return;
   see({.what = What::died, .relay = relay, .kept = true});
   r.idle.clear();
@@ -234,4 +245,119 @@
   }
 }
 
+// A new process beside the old one, and SIGTERM to that once the new one could serve. False: it was killed
+// meanwhile, and started anew.
+asio::awaitable<bool> Drive::replace_relay(std::uint32_t relay) {
+  RelayProcess& r = relays_[relay];
+  const unsigned start = r.start;
+  if (!r.child || r.to_end || !r.up) co_return false;
+  r.admin.port(static_cast<std::uint16_t>(r.admin.port() + 1));
+  write_config(relay);
+  std::unique_ptr<Child> next = spawn_relay(relay);
+  ++result_.starts;
+  const Time within = now() + kServesWithin;
+  bool serves = false;
+  while (!serves && now() < within && r.start == start && !r.to_end) {
+    serves = (co_await ask_admin(r.admin, "HEALTH")).starts_with("ACK");
+    if (!serves) co_await sleep(kLook);
+  }
+  if (r.start != start || r.to_end) co_return false;
+  if (!serves) throw std::runtime_error("an upgrade of relay " + std::to_string(relay) + " does not serve");
+  r.child->signal(SIGTERM);
+  std::shared_ptr<Child> old = std::move(r.child);
+  r.child = std::move(next);
+  r.earlier.push_back(old);
+  go(end_earlier(relay, std::move(old)));
+  co_return true;
+}
+
+asio::awaitable<void> Drive::end_earlier(std::uint32_t relay, std::shared_ptr<Child> old) {
+  const Time ends = now() + kKillAfter;
+  while (now() < ends && !old->ended()) co_await sleep(kLook);
+  old->signal(SIGKILL);
+  std::erase(relays_[relay].earlier, old);
+}
+
+asio::awaitable<void> Drive::upgrade_relay(std::uint32_t relay) { (void)co_await replace_relay(relay); }
+
+// One new process after the other, each while the ones before it may still have calls out.
+asio::awaitable<void> Drive::upgrade_series(std::uint32_t relay, UpgradeSeries series) {
+  co_await sleep_until(Time(span(series.at)));
+  RelayProcess& r = relays_[relay];
+  for (unsigned n = 0; n < series.length; ++n) {
+    const bool replaced = co_await replace_relay(relay);
+    if (!replaced || over_) co_return;
+    if (series.stall > 0) {
+      go([](Drive* self, std::shared_ptr<Child> old, Duration lasts) -> asio::awaitable<void> {
+        co_await self->sleep(kGivenOverBy);
+        old->signal(SIGSTOP);
+        co_await self->sleep(lasts);
+        old->signal(SIGCONT);
+      }(this, r.earlier.back(), span(series.stall)));
+    }
+    co_await sleep(span(series.gap));
+  }
+  if (!series.kill_last || over_ || r.to_end) co_return;
+  kill_relay(relay, true);
+  const unsigned start = r.start;
+  co_await sleep(kBackAfter);
+  if (r.start == start && !over_) start_relay(relay);
+}
+
+// An operator takes an endpoint out on all relays, and puts it back; a relay that does not answer is asked
+// again.
+asio::awaitable<void> Drive::play_ban(EndpointBan ban) {
+  const std::uint32_t host = ban.host % static_cast<std::uint32_t>(hosts_.size());
+  co_await sleep_until(Time(span(ban.from)));
+  for (std::uint32_t r = 0; r < relays_.size(); ++r)
+    go(call_until_acked(r, host, true, Time(span(ban.until))));
+  co_await sleep_until(Time(span(ban.until)));
+  for (std::uint32_t r = 0; r < relays_.size(); ++r) {
+    if (relays_[r].banned) go(call_until_acked(r, host, false, day_.end()));
+  }
+}
+
+asio::awaitable<void> Drive::call_until_acked(std::uint32_t relay, std::uint32_t host, bool out, Time until) {
+  RelayProcess& r = relays_[relay];
+  const std::string line = (out ? "OFFLINE e" : "ONLINE e") + std::to_string(host);
+  bool done = false;
+  while (!done && !over_ && now() < until) {
+    done = (co_await ask_admin(r.admin, line)).starts_with("ACK");
+    if (!done) co_await sleep(kLook);
+  }
+  if (!done || out == r.banned.has_value()) co_return;
+  r.banned = out ? std::optional(host) : std::nullopt;
+  r.told[host] = out ? HostState::draining : HostState::running;
+  see({.what = What::listed, .relay = relay, .host = host, .state = r.told[host]});
+}
+
+// Discovery is elsewhere from now on: the file says so, SIGHUP tells it, and the former address closes.
+asio::awaitable<void> Drive::move_discovery(double at) {
+  co_await sleep_until(Time(span(at)));
+  for (std::uint32_t relay = 0; relay < relays_.size(); ++relay) {
+    RelayProcess& r = relays_[relay];
+    const auto former = std::move(r.agent_acceptor);
+    const auto sessions = std::move(r.agent_sessions);
+    open_agent(relay);
+    write_config(relay);
+    if (r.child && r.up) r.child->signal(SIGHUP);
+    former->close();
+    go([](Drive* self, auto old) -> asio::awaitable<void> {
+      co_await self->sleep(kOldServiceEnds);
+      boost::system::error_code ignored;
+      for (const auto& session : old) {
+        if (const auto socket = session.lock()) socket->close(ignored);
+      }
+    }(this, sessions));
+  }
+}
+
+void Drive::open_agent(std::uint32_t relay) {
+  RelayProcess& r = relays_[relay];
+  r.agent_acceptor = std::make_shared<tcp::acceptor>(context_, tcp::endpoint(address(20 + relay), 0));
+  r.agent = r.agent_acceptor->local_endpoint();
+  r.agent_sessions.clear();
+  go(agent(relay, r.agent_acceptor));
+}
+
 }  // namespace valedrum::lab
--- a/lab/soak/shim.cpp
+++ b/lab/soak/shim.cpp
@@ -6,8 +6,9 @@
 //   SOAK_CLOCK     "AT:STEP": from AT milliseconds on CLOCK_REALTIME is STEP milliseconds off
 //   SOAK_CALLS     "FROM:UNTIL:SHARE": share of socket calls and waits that fail, are short or interrupted
 //   SOAK_FOLDER    "FROM:UNTIL:SHARE": share of writes, truncations, renames and syncs of files that fail
-//   SOAK_CLOSE_MS  each close of an internet socket comes so much later: the process is held up just before
-//   it
+//   SOAK_ABORTED_ACCEPT  this one, counted from 1, of the accepted connections of the process was aborted by
+//   its peer SOAK_UNIX_SOCKETS    so many Unix sockets at first can't be made SOAK_CLOSE_MS  each close of an
+//   internet socket comes so much later: the process is held up just before it
 #include <dlfcn.h>
 #include <errno.h>
 #include <stdio.h>
@@ -36,6 +37,7 @@
   long step_at = 0, step_ms = 0;
   Span calls, folder;
   long close_ms = 0;
+  long aborted_accept = 0, unix_sockets = 0;
 };
 
 template <typename Function>
@@ -58,6 +60,8 @@
     if (const char* clock = getenv("SOAK_CLOCK")) sscanf(clock, "%ld:%ld", &p.step_at, &p.step_ms);
     p.calls = read_span("SOAK_CALLS");
     p.folder = read_span("SOAK_FOLDER");
+    if (const char* count = getenv("SOAK_ABORTED_ACCEPT")) p.aborted_accept = strtol(count, nullptr, 10);
+    if (const char* count = getenv("SOAK_UNIX_SOCKETS")) p.unix_sockets = strtol(count, nullptr, 10);
     if (const char* delay = getenv("SOAK_CLOSE_MS")) p.close_ms = strtol(delay, nullptr, 10);
     return p;
   }();
@@ -171,12 +175,25 @@
 
 int accept(int file, sockaddr* address, socklen_t* length) {
   static const auto call = real<int (*)(int, sockaddr*, socklen_t*)>("accept");
-  if (!happens(plan().calls)) return call(file, address, length);
+  static std::atomic<long> accepted{0};
+  if (!happens(plan().calls)) {
+    const int connection = call(file, address, length);
+    if (connection < 0 || ++accepted != plan().aborted_accept) return connection;
+    close(connection);
+    errno = ECONNABORTED;
+    return -1;
+  }
   return fail_with({EINTR, ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM});
 }
 
 int socket(int domain, int type, int protocol) {
   static const auto call = real<int (*)(int, int, int)>("socket");
+  static std::atomic<long> refused{0};
+  if (domain == AF_UNIX && refused < plan().unix_sockets) {
+    ++refused;
+    errno = ENOBUFS;
+    return -1;
+  }
   if (!happens(plan().calls)) return call(domain, type, protocol);
   return fail_with({EMFILE, ENFILE, ENOBUFS, ENOMEM});
 }
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -17,6 +17,7 @@
 constexpr double kMiddle = 5;           // around which all troubles lie
 constexpr double kLongestStall = 0.15;  // of a relay that still keeps the rules (STANDING.md)
 constexpr long kSecondMs = 1000;
+constexpr unsigned kFewDescriptors = 128;  // that a crowd can fill
 
 class Draws {
  public:
@@ -83,6 +84,46 @@
          std::to_string(span.share);
 }
 
+std::string upgrade_text(const UpgradeSeries& u) {
+  return "upgrades x" + std::to_string(u.length) + (u.stall > 0 ? " stalled" : "") +
+         (u.kill_last ? " killed" : "");
+}
+
+// The same load, in bulk calls that some messages leave earlier than others.
+void make_bulk(Scenario& s, Draws& draws) {
+  for (KindSpec& kind : s.kinds) kind.batch = 10;
+  s.fleet.messages_per_relay *= 2;
+  s.classes[1].aim = draws.between(2, 3);
+  s.classes[2].aim = draws.between(0.3, 0.6);
+  for (ClassSpec& c : s.classes) c.deadline = std::max(c.deadline, 2 * c.aim);
+}
+
+// What operators and the platform do to processes, drawn apart: what was drawn before stays as it was.
+void draw_operations(SoakPlan& plan) {
+  constexpr std::uint64_t kOperations = 0x6f70657261746573;
+  Draws draws(plan.seed ^ kOperations);
+  if (draws.chance(0.6)) {
+    UpgradeSeries& u = plan.upgrades.emplace();
+    u.at = draws.between(kMiddle - 3, kMiddle);
+    u.length = draws.whole(1, 3);
+    u.gap = draws.between(0.05, 2.5);
+    u.stall = draws.chance(0.2) ? draws.between(0.1, 4) : 0;
+    if (plan.calls || plan.folder) u.stall = 0;  // then a hand-over may take longer than a stop may wait
+    u.kill_last = draws.chance(0.2);
+    u.part = draws.between(0.4, 1);
+  }
+  plan.bulk = draws.chance(0.5);
+  if (plan.bulk) make_bulk(plan.scenario, draws);
+  if (draws.chance(0.3)) {
+    const double from = draws.between(kMiddle - 3, kMiddle + 1);
+    plan.ban = EndpointBan{draws.whole(0, 1000), from, from + draws.between(2, 6)};
+  }
+  if (draws.chance(0.25)) plan.crowd = CrowdSpan{draws.whole(20, 60), 1, kSeconds - 2};
+  if (draws.chance(0.2)) plan.discovery_moves = draws.between(kMiddle - 2, kMiddle + 2);
+  plan.signals_twice = draws.chance(0.3);
+  plan.copies = draws.chance(0.1) && !plan.folder;
+}
+
 // The relays' own count, from the last line of counters of each log.
 std::uint64_t violations_in(const std::string& folder) {
   std::uint64_t sum = 0;
@@ -104,6 +145,11 @@
   if (calls) names.push_back("system calls " + std::to_string(static_cast<int>(calls->share * 100)) + "%");
   if (folder) names.push_back("folder " + std::to_string(static_cast<int>(folder->share * 100)) + "%");
   if (reload_every) names.emplace_back("reloads");
+  if (upgrades) names.push_back(upgrade_text(*upgrades));
+  if (ban) names.emplace_back("ban");
+  if (crowd) names.push_back("crowd " + std::to_string(crowd->connections));
+  if (discovery_moves) names.emplace_back("moved discovery");
+  if (signals_twice) names.emplace_back("second signals");
   return names;
 }
 
@@ -118,6 +164,11 @@
   if (name.starts_with("system calls")) less.calls.reset();
   if (name.starts_with("folder")) less.folder.reset();
   if (name == "reloads") less.reload_every.reset();
+  if (name.starts_with("upgrades")) less.upgrades.reset();
+  if (name == "ban") less.ban.reset();
+  if (name.starts_with("crowd")) less.crowd.reset();
+  if (name == "moved discovery") less.discovery_moves.reset();
+  if (name == "second signals") less.signals_twice = false;
   return less;
 }
 
@@ -155,6 +206,7 @@
     plan.folder = ShimSpan{middle, middle + lasts, draws.between(0.3, 1)};
   }
   if (draws.chance(0.3)) plan.reload_every = draws.between(0.2, 1);
+  draw_operations(plan);
   return plan;
 }
 
@@ -169,6 +221,17 @@
   drive_options.folder = options.folder;
   drive_options.stop = options.stop;
   drive_options.reload_every = plan.reload_every;
+  drive_options.second_address = true;
+  drive_options.signals_twice = plan.signals_twice;
+  drive_options.upgrades = plan.upgrades;
+  drive_options.ban = plan.ban;
+  drive_options.crowd = plan.crowd;
+  if (plan.crowd) drive_options.sockets = kFewDescriptors;
+  drive_options.discovery_moves = plan.discovery_moves;
+  if (plan.copies) {
+    drive_options.fleet = true;
+    drive_options.copies = 1;
+  }
   auto& environment = drive_options.environment;
   if (plan.clock || plan.calls || plan.folder) environment["LD_PRELOAD"] = options.shim;
   environment["SOAK_SEED"] = std::to_string(plan.seed);
--- a/lab/soak/soak.h
+++ b/lab/soak/soak.h
@@ -26,6 +26,13 @@
   std::optional<ClockStep> clock;
   std::optional<ShimSpan> calls, folder;
   std::optional<double> reload_every;  // seconds between two SIGHUPs
+  std::optional<UpgradeSeries> upgrades;
+  std::optional<EndpointBan> ban;
+  std::optional<CrowdSpan> crowd;
+  std::optional<double> discovery_moves;  // seconds since the day's start
+  bool signals_twice = false;
+  bool bulk = false;    // all endpoints take bulk calls, of classes with different time-outs
+  bool copies = false;  // of what each relay holds, by another one
 
   // Names of all troubles, in a fixed order.
   std::vector<std::string> troubles() const;
@@ -42,7 +49,8 @@
   std::string failure;           // the run could not be played: a relay did not start, or crashed
   std::uint64_t violations = 0;  // that the relays counted themselves
   bool good() const {
-    return failure.empty() && drive.crashes == 0 && violations == 0 && drive.run.rules_kept();
+    return failure.empty() && drive.crashes == 0 && violations == 0 && drive.overdue_peers.empty() &&
+           drive.run.rules_kept();
   }
 };
 
--- a/lab/soak/tool_soak.cpp
+++ b/lab/soak/tool_soak.cpp
@@ -64,12 +64,17 @@
     }
     std::printf(
         "seed %llu %s%s%s%s: %u relays, %s; requests %llu, delivered %llu, failed %llu, violations %llu, "
-        "late %.2f%%\n",
+        "overdue %zu, starts %u, late %.2f%%\n",
         static_cast<unsigned long long>(plan.seed), result.good() ? "kept" : "BROKEN", rules.c_str(),
         result.failure.empty() ? "" : " ", result.failure.c_str(), plan.scenario.fleet.relays,
         joined(plan.troubles()).c_str(), static_cast<unsigned long long>(run.requests),
         static_cast<unsigned long long>(run.delivered), static_cast<unsigned long long>(run.failed),
-        static_cast<unsigned long long>(result.violations), result.drive.late_share * 100);
+        static_cast<unsigned long long>(result.violations), result.drive.overdue_peers.size(),
+        result.drive.starts, result.drive.late_share * 100);
+    for (const OverduePeer& peer : result.drive.overdue_peers) {
+      std::printf("  overdue: relay %u, connected at %.3f s, %s\n", peer.relay, peer.connected,
+                  peer.half_way ? "stopped within a request" : "said nothing");
+    }
     for (const Breach& b : run.breaches) {
       std::printf("  %s at %.3f s, message %u:\n%s", std::string(name_of(b.rule)).c_str(), seconds(b.at),
                   b.message, b.history.c_str());
@@ -85,6 +90,9 @@
                           {"failure", result.failure},
                           {"violations", result.violations},
                           {"crashes", result.drive.crashes},
+                          {"overdue_peers", result.drive.overdue_peers.size()},
+                          {"bulk", plan.bulk},
+                          {"copies", plan.copies},
                           {"late_share", result.drive.late_share},
                           {"troubles", troubles}};
     if (result.failure.empty()) document["run"] = to_json(result.drive.run);
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -28,6 +28,7 @@
 // again.
 constexpr auto kAddressWithin = 6s;
 constexpr auto kTellEvery = 50ms;
+constexpr auto kInviteAgain = 100ms;
 constexpr auto kRoomEvery = 5s;  // a change of what this relay can hold for others
 
 }  // namespace
@@ -39,6 +40,7 @@
       lock_(config_.state_folder),
       pause_(executor),
       successors_(executor),
+      invite_timer_(executor),
       prepare_timer_(executor),
       usage_timer_(executor),
       room_timer_(executor) {
@@ -150,17 +152,35 @@
   relay_->start();
   std::cerr << "myrtlegrade: listening on " << relay_->address() << std::endl;
   enter_fleet();
+  spawn(executor_, invite_successors());
+}
+
+// What fails here is no reason not to serve; without it no process could ever take over, so it is tried
+// again.
+asio::awaitable<void> Succession::invite_successors() {
+  bool told = false;
+  while (!ending_ && !successors_.is_open()) {
+    const boost::system::error_code error = open_successors();
+    if (!error) break;
+    if (!std::exchange(told, true))
+      std::cerr << "myrtlegrade: no successor can take over yet: " << error.message() << std::endl;
+    invite_timer_.expires_after(kInviteAgain);
+    co_await invite_timer_.async_wait(kAwait);
+  }
+  if (successors_.is_open()) spawn(executor_, await_successors());
+}
+
+boost::system::error_code Succession::open_successors() {
   const auto place = Link::place(config_.state_folder);
   ::unlink(place.path().c_str());  // of a process that is no relay any more
-  try {
-    successors_.open(place.protocol());
-    successors_.bind(place);
-    successors_.listen();
-    ::chmod(place.path().c_str(), 0600);
-    spawn(executor_, await_successors());
-  } catch (const std::exception& e) {  // no reason not to serve
-    std::cerr << "myrtlegrade: no successor can take over: " << e.what() << std::endl;
-  }
+  boost::system::error_code error;
+  successors_.open(place.protocol(), error);
+  if (!error) successors_.bind(place, error);
+  if (!error) successors_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) ::chmod(place.path().c_str(), 0600);
+  boost::system::error_code ignored;
+  if (error) successors_.close(ignored);
+  return error;
 }
 
 // What keeps it out of the fleet is no reason not to serve.
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -54,6 +54,8 @@
   void heard_from_predecessor(const std::string& frame);
 
   // As the relay: who stands by, and after giving over: what the new process says.
+  boost::asio::awaitable<void> invite_successors();
+  boost::system::error_code open_successors();
   boost::asio::awaitable<void> await_successors();
   boost::asio::awaitable<void> attend(Links link);
   void heard_from_successor(const std::string& frame);
@@ -84,7 +86,7 @@
   bool successor_ready_ = false;  // has said which version it speaks
   bool ending_ = false, given_over_ = false;
   boost::asio::local::stream_protocol::acceptor successors_;
-  boost::asio::steady_timer prepare_timer_, usage_timer_, room_timer_;
+  boost::asio::steady_timer invite_timer_, prepare_timer_, usage_timer_, room_timer_;
   std::string published_;  // in this relay's record
 
   struct Question {
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -258,6 +258,18 @@
   EXPECT_TRUE(watched_.read([this] { return asked_["first"].empty(); }));
 }
 
+// The system has no room for the socket that successors connect to as the process begins to serve.
+TEST_F(HandoverTest, AProcessCanBeReplacedThoughItsSocketCouldNotBeMadeAtFirst) {
+  add_silent_host("p1", 3, "plain");
+  environment_["LD_PRELOAD"] = SHIM;
+  environment_["SOAK_UNIX_SOCKETS"] = "2";
+  start_old(1000, 1000);
+  start_next(new_);
+  const auto until = SteadyClock::now() + 3s;
+  while (!healthy(new_) && SteadyClock::now() < until) std::this_thread::sleep_for(20ms);
+  EXPECT_TRUE(healthy(new_));
+}
+
 // A connection that comes up after the hand-over carries nothing: bans, waits and lists are told to the new
 // process alone.
 TEST_F(HandoverTest, NothingNewLeavesAProcessThatHasGivenOver) {
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -11,19 +11,26 @@
   exit 1
 }
 
+# Plays so many days side by side.
+play() {
+  pids=
+  for seed in "$@"; do
+    "$lab" soak --seed "$seed" --program "$relay" --folder "$work/$seed" --json "$work/$seed.json" >"$work/$seed.txt" 2>&1 &
+    pids="$pids $!"
+  done
+  status=0
+  for pid in $pids; do wait "$pid" || status=1; done
+  [ $status = 0 ] || fail "$(cat "$work"/*.txt)"
+  for seed in "$@"; do
+    grep -q "^seed $seed kept: " "$work/$seed.txt" || fail "$(cat "$work/$seed.txt")"
+    grep -q '"good":true' "$work/$seed.json" || fail "no JSON of seed $seed"
+  done
+}
+
 # Kills and restarts with a clock that is set and a folder that fails, reloads beside a rolling restart.
-pids=
-for seed in 1 2 13 15; do
-  "$lab" soak --seed $seed --program "$relay" --folder "$work/$seed" --json "$work/$seed.json" >"$work/$seed.txt" 2>&1 &
-  pids="$pids $!"
-done
-status=0
-for pid in $pids; do wait "$pid" || status=1; done
-[ $status = 0 ] || fail "$(cat "$work"/*.txt)"
-for seed in 1 2 13 15; do
-  grep -q "^seed $seed kept: " "$work/$seed.txt" || fail "$(cat "$work/$seed.txt")"
-  grep -q '"good":true' "$work/$seed.json" || fail "no JSON of seed $seed"
-done
+play 1 2 13 15
+# Upgrades in chains over a restart, a kill, a ban, a crowd, in bulk calls of classes with different time-outs.
+play 502 510 517 524
 grep -q "kill, slow, clock 3000 ms, folder 92%" "$work/1.txt" || fail "another plan: $(cat "$work/1.txt")"
 
 if "$lab" soak --calls 2 --program "$relay" >"$work/bad" 2>&1; then fail "a share of 2 was taken"; fi
