Keep an endpoint known until the calls to it are over, not until their outcomes

Line at fault: Relay::reported(), which gave the endpoint back; the book of calls now does, as a call ends. Change: the endpoint goes back with the call.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -228,7 +228,6 @@
     }
   }
   if (result.over || open.over) close_message(item.message);
-  endpoints_.call_over(host);
 }
 
 // A connection may come up, or be proven, after the message has got its final answer: then it must not go
--- a/relay/relay_calls.cpp
+++ b/relay/relay_calls.cpp
@@ -32,7 +32,9 @@
   log_call_over(number, call.mapped(), end);
   for (const MessageId id : call.mapped().messages) {
     Open& open = open_.at(id);
-    std::erase_if(open.out, [number](const Out& out) { return out.call == number; });
+    const std::size_t ended =
+        std::erase_if(open.out, [number](const Out& out) { return out.call == number; });
+    for (std::size_t n = 0; n < ended; ++n) endpoints_.call_over(call.mapped().host);
     if (open.over) close_message(id);
   }
   if (successor_) successor_->call_over(number, end);
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -258,6 +258,18 @@
   EXPECT_TRUE(watched_.read([this] { return asked_["first"].empty(); }));
 }
 
+// Its last message has an outcome, and the endpoint is gone from the list, before the call is over.
+TEST_F(HandoverTest, AnEndpointThatIsGoneIsKnownUntilItsCallIsOver) {
+  add_silent_host("p1", 3, "plain");
+  start_old(500, 500);
+  ASSERT_EQ(hand_in("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  entries_["p1"]["state"] = "DELETED";
+  push(list({"p1"}));
+  std::this_thread::sleep_for(1s);
+  EXPECT_EQ(call(second_, "HEALTH"), "ACK");
+}
+
 // The system has no room for the socket that successors connect to as the process begins to serve.
 TEST_F(HandoverTest, AProcessCanBeReplacedThoughItsSocketCouldNotBeMadeAtFirst) {
   add_silent_host("p1", 3, "plain");
