--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -151,6 +151,7 @@
   CallOut& call = calls_[out.call];
   call.host = id;
   call.begun = elsewhere.sent;
+  call.begun.steady = sent;
   call.owner = out.owner;
   call.elsewhere = true;
   call.messages.push_back(ids_.at(out.message));
