--- a/lab/soak/shim.cpp
+++ b/lab/soak/shim.cpp
@@ -6,9 +6,15 @@
 //   SOAK_CLOCK     "AT:STEP": from AT milliseconds on CLOCK_REALTIME is STEP milliseconds off
 //   SOAK_CALLS     "FROM:UNTIL:SHARE": share of socket calls and waits that fail, are short or interrupted
 //   SOAK_FOLDER    "FROM:UNTIL:SHARE": share of writes, truncations, renames and syncs of files that fail
-//   SOAK_ABORTED_ACCEPT  this one, counted from 1, of the accepted connections of the process was aborted by
-//   its peer SOAK_UNIX_SOCKETS    so many Unix sockets at first can't be made SOAK_CLOSE_MS  each close of an
-//   internet socket comes so much later: the process is held up just before it
+//   SOAK_ABORTED_ACCEPT
+//                  this one, counted from 1, of the accepted connections of each listening socket was aborted
+//                  by its peer
+//   SOAK_SHORT_SENDS
+//                  1: every second send on each stream, beginning with the first, takes a single byte
+//   SOAK_UNIX_SOCKETS
+//                  so many Unix sockets at first can't be made
+//   SOAK_CLOSE_MS  each close of an internet socket comes so much later: the process is held up just before
+//   it
 #include <dlfcn.h>
 #include <errno.h>
 #include <stdio.h>
@@ -21,6 +27,7 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 
@@ -38,6 +45,7 @@
   Span calls, folder;
   long close_ms = 0;
   long aborted_accept = 0, unix_sockets = 0;
+  bool short_sends = false;
 };
 
 template <typename Function>
@@ -61,6 +69,7 @@
     p.calls = read_span("SOAK_CALLS");
     p.folder = read_span("SOAK_FOLDER");
     if (const char* count = getenv("SOAK_ABORTED_ACCEPT")) p.aborted_accept = strtol(count, nullptr, 10);
+    if (const char* flag = getenv("SOAK_SHORT_SENDS")) p.short_sends = strcmp(flag, "1") == 0;
     if (const char* count = getenv("SOAK_UNIX_SOCKETS")) p.unix_sockets = strtol(count, nullptr, 10);
     if (const char* delay = getenv("SOAK_CLOSE_MS")) p.close_ms = strtol(delay, nullptr, 10);
     return p;
@@ -100,10 +109,27 @@
   return -1;
 }
 
+// Counts by descriptor, from its opening on.
+class DescriptorCounts {
+ public:
+  long next(int file) { return known(file) ? ++counts_[static_cast<std::size_t>(file)] : 0; }
+  void forget(int file) {
+    if (known(file)) counts_[static_cast<std::size_t>(file)] = 0;
+  }
+
+ private:
+  static constexpr int kMost = 4096;
+  static bool known(int file) { return file >= 0 && file < kMost; }
+  std::array<std::atomic<long>, kMost> counts_{};
+};
+DescriptorCounts accepted, sent;
+
 enum class Disturbance { none, interrupted, short_count, broken };
 
 constexpr double kBrokenShare = 0.1;  // of disturbed reads and writes; the rest is harmless by itself
 
+bool cuts_send(int file, size_t size) { return plan().short_sends && size > 1 && sent.next(file) % 2 == 1; }
+
 Disturbance disturb_stream(int file) {
   struct stat kind {};
   if (!happens(plan().calls) || fstat(file, &kind) != 0 || !S_ISSOCK(kind.st_mode)) return Disturbance::none;
@@ -139,6 +165,21 @@
 
 constexpr int kFolderErrors[] = {ENOSPC, EIO};
 
+// A message header for the first byte of another one.
+class FirstByte {
+ public:
+  explicit FirstByte(const msghdr& whole) : byte_(whole.msg_iov[0]), header_(whole) {
+    byte_.iov_len = 1;
+    header_.msg_iov = &byte_;
+    header_.msg_iovlen = 1;
+  }
+  const msghdr* header() const { return &header_; }
+
+ private:
+  iovec byte_;
+  msghdr header_;
+};
+
 // One call of a stream with a message header; a short one carries a single byte.
 template <typename Call>
 ssize_t stream_message(int file, const msghdr* message, Call call) {
@@ -151,12 +192,8 @@
       return -1;
   }
   if (message->msg_iovlen == 0 || message->msg_iov[0].iov_len == 0) return call(message);
-  iovec one = message->msg_iov[0];
-  one.iov_len = 1;
-  msghdr small = *message;
-  small.msg_iov = &one;
-  small.msg_iovlen = 1;
-  return call(&small);
+  const FirstByte first(*message);
+  return call(first.header());
 }
 
 }  // namespace
@@ -175,10 +212,9 @@
 
 int accept(int file, sockaddr* address, socklen_t* length) {
   static const auto call = real<int (*)(int, sockaddr*, socklen_t*)>("accept");
-  static std::atomic<long> accepted{0};
   if (!happens(plan().calls)) {
     const int connection = call(file, address, length);
-    if (connection < 0 || ++accepted != plan().aborted_accept) return connection;
+    if (connection < 0 || accepted.next(file) != plan().aborted_accept) return connection;
     close(connection);
     errno = ECONNABORTED;
     return -1;
@@ -213,6 +249,7 @@
 
 ssize_t send(int file, const void* buffer, size_t size, int flags) {
   static const auto call = real<ssize_t (*)(int, const void*, size_t, int)>("send");
+  if (cuts_send(file, size)) return call(file, buffer, 1, flags);
   const Disturbance d = disturb_stream(file);
   if (d == Disturbance::interrupted || d == Disturbance::broken) return -1;
   return call(file, buffer, d == Disturbance::short_count && size > 1 ? 1 : size, flags);
@@ -226,6 +263,11 @@
 
 ssize_t sendmsg(int file, const msghdr* message, int flags) {
   static const auto call = real<ssize_t (*)(int, const msghdr*, int)>("sendmsg");
+  const bool whole = message->msg_controllen > 0 || message->msg_iovlen == 0;
+  if (!whole && cuts_send(file, message->msg_iov[0].iov_len)) {
+    const FirstByte first(*message);
+    return call(file, first.header(), flags);
+  }
   return stream_message(file, message, [&](const msghdr* m) { return call(file, m, flags); });
 }
 
@@ -248,6 +290,8 @@
 int close(int file) {
   static const auto call = real<int (*)(int)>("close");
   if (plan().close_ms > 0 && is_internet_socket(file)) hold_up(plan().close_ms);
+  accepted.forget(file);
+  sent.forget(file);
   return call(file);
 }
 
