--- a/relay/admin_server.cpp
+++ b/relay/admin_server.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 #include <iostream>
@@ -12,6 +11,7 @@
 #include <utility>
 
 #include "coroutine.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -56,7 +56,7 @@
 
 asio::awaitable<void> AdminServer::accept() {
   while (true) {
-    auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+    auto [error, socket] = co_await accept_next(StreamUse::second_address, acceptor_);
     if (error == asio::error::operation_aborted) co_return;
     if (error) {
       pause_.expires_after(kPause);
@@ -104,7 +104,7 @@
   }
   reply += '\n';
   caller.stream.expires_after(kReplyWithin);
-  const auto [error, written] = co_await asio::async_write(caller.stream, asio::buffer(reply), kAwait);
+  const auto error = co_await write_all(StreamUse::second_address, caller.stream, reply);
   if (error) co_return;
   // A plain close() with unread bytes would reset the connection and may take the reply with it.
   boost::system::error_code ignored;
--- a/relay/copy_net.cpp
+++ b/relay/copy_net.cpp
@@ -14,6 +14,7 @@
 
 #include "coroutine.h"
 #include "moment.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -223,7 +224,7 @@
 
 asio::awaitable<void> CopyNet::connect(copies::Seat to) {
   const auto self = shared_from_this();
-  const auto stream = std::make_shared<Stream>(tcp::socket(executor_), kMostFrame);
+  const auto stream = std::make_shared<Stream>(tcp::socket(executor_), kMostFrame, StreamUse::copies);
   asio::steady_timer limit(executor_, kUpWithin);
   limit.async_wait([stream](boost::system::error_code aborted) {
     if (!aborted) stream->close();
@@ -259,7 +260,7 @@
 asio::awaitable<void> CopyNet::accept() {
   const auto self = shared_from_this();
   while (!stopped_) {
-    auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+    auto [error, socket] = co_await accept_next(StreamUse::copies, acceptor_);
     if (stopped_) co_return;
     if (error) {
       retry_.expires_after(kAddressAgain);
@@ -268,7 +269,7 @@
     }
     if (accepted_ >= copies_descriptors(config_) / 2) continue;  // closed: who needs it comes again
     ++accepted_;
-    spawn(executor_, attend(std::make_shared<Stream>(std::move(socket), kMostFrame)));
+    spawn(executor_, attend(std::make_shared<Stream>(std::move(socket), kMostFrame, StreamUse::copies)));
   }
 }
 
--- a/relay/event_log.cpp
+++ b/relay/event_log.cpp
@@ -22,7 +22,7 @@
 
 void EventLog::write(std::string_view what, std::string_view text) {
   std::ostringstream line;
-  line << "myrtlegrade: call: " << what << ' ' << text;
+  line << "myrtlegrade: " << subject_ << ": " << what << ' ' << text;
   if (left_out_ > 0) line << " left_out=" << std::exchange(left_out_, 0);
   line << '\n';
   std::cerr << line.str() << std::flush;
--- a/relay/fleet.cpp
+++ b/relay/fleet.cpp
@@ -3,7 +3,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstdio>
@@ -13,6 +12,7 @@
 
 #include "coroutine.h"
 #include "fleet_stream.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -201,7 +201,7 @@
 asio::awaitable<void> Fleet::accept() {
   const auto self = shared_from_this();
   while (!stopped_) {
-    auto [error, socket] = co_await streams_.async_accept(kAwait);
+    auto [error, socket] = co_await accept_next(StreamUse::fleet, streams_);
     if (stopped_) co_return;
     if (error) {
       retry_.expires_after(kAddressAgain);
@@ -221,7 +221,8 @@
   if (frame && !stopped_) {
     const std::string reply = members_->serve(now(), *frame);
     turn();
-    if (!reply.empty()) (void)co_await asio::async_write(*stream, asio::buffer(framed(reply)), kAwait);
+    const std::string bytes = framed(reply);
+    if (!reply.empty()) (void)co_await write_all(StreamUse::fleet, *stream, bytes);
   }
   stream->close();
   served_.remove(stream);
@@ -240,7 +241,8 @@
   if (!error) {
     const auto [refused] = co_await stream->async_connect({ip_of(a.to), a.to.port}, kAwait);
     if (!refused) {
-      const auto [cut, count] = co_await asio::async_write(*stream, asio::buffer(framed(a.frame)), kAwait);
+      const std::string bytes = framed(a.frame);
+      const auto cut = co_await write_all(StreamUse::fleet, *stream, bytes);
       if (!cut) reply = co_await read_frame(*stream);
     }
   }
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -4,17 +4,16 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
 #include <string_view>
-#include <tuple>
 #include <utility>
 
 #include "coroutine.h"
 #include "host_client_call.h"
 #include "host_texts.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -211,7 +210,7 @@
 // and costs each call that time in its slot.
 asio::awaitable<bool> HostClient::prove(Call& call, const std::string& bytes) {
   const std::shared_ptr<Connection> connection = call.connection;
-  const auto [error, count] = co_await asio::async_write(connection->socket, asio::buffer(bytes), kAwait);
+  const auto error = co_await write_all(StreamUse::calls, connection->socket, bytes);
   if (error) co_return false;
   asio::steady_timer limit(executor_, limits_.proof);
   const auto waits = std::make_shared<bool>(true);
@@ -226,7 +225,6 @@
 
 asio::awaitable<void> HostClient::write(Call& call) {
   std::string request = make_request(call.address, call.items, limits_.via);
-  boost::system::error_code error;
   if (std::ranges::any_of(call.items, &CallItem::prove)) {
     const std::string last(1, request.back());
     request.pop_back();
@@ -243,8 +241,8 @@
     co_return;
   }
   call.connected = true;
-  std::tie(error, std::ignore) =
-      co_await asio::async_write(call.connection->socket, asio::buffer(request), kAwait);
+  const std::shared_ptr<Connection> connection = call.connection;
+  const auto error = co_await write_all(StreamUse::calls, connection->socket, request);
   call.written = !error;
   if (!call.written) co_return;
   if (leave_by < vetchhinge::Time::max()) {
--- a/relay/host_client_call.h
+++ b/relay/host_client_call.h
@@ -35,7 +35,11 @@
   // None and an error: nothing has come, or the connection is broken. 0: its end has come.
   ssize_t waiting_bytes() {
     char byte = 0;
-    return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    ssize_t waiting = 0;
+    do {
+      waiting = ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    } while (waiting < 0 && errno == EINTR);
+    return waiting;
   }
 
   // Something of what was written has not come to the host's machine yet, as far as this one knows.
--- a/relay/link.cpp
+++ b/relay/link.cpp
@@ -5,6 +5,7 @@
 #include <sys/un.h>
 
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <utility>
 
@@ -34,7 +35,11 @@
   header->cmsg_type = SCM_RIGHTS;
   header->cmsg_len = CMSG_LEN(sizeof(int));
   std::memcpy(CMSG_DATA(header), &descriptor, sizeof descriptor);
-  return ::sendmsg(socket().native_handle(), &message, MSG_NOSIGNAL | MSG_DONTWAIT) == 1;
+  ssize_t sent = 0;
+  do {
+    sent = ::sendmsg(socket().native_handle(), &message, MSG_NOSIGNAL | MSG_DONTWAIT);
+  } while (sent < 0 && errno == EINTR);
+  return sent == 1;
 }
 
 asio::awaitable<std::optional<int>> Link::receive_descriptor() {
@@ -48,9 +53,11 @@
   message.msg_iovlen = 1;
   message.msg_control = control.data();
   message.msg_controllen = control.size();
-  if (::recvmsg(socket().native_handle(), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT) != 1) {
-    co_return std::nullopt;
-  }
+  ssize_t received = 0;
+  do {
+    received = ::recvmsg(socket().native_handle(), &message, MSG_CMSG_CLOEXEC | MSG_DONTWAIT);
+  } while (received < 0 && errno == EINTR);
+  if (received != 1) co_return std::nullopt;
   const cmsghdr* header = CMSG_FIRSTHDR(&message);
   if (!header || header->cmsg_level != SOL_SOCKET || header->cmsg_type != SCM_RIGHTS) co_return std::nullopt;
   int descriptor = -1;
--- a/relay/link.h
+++ b/relay/link.h
@@ -16,7 +16,8 @@
  public:
   using Protocol = boost::asio::local::stream_protocol;
 
-  explicit Link(Protocol::socket socket) : RecordStream(std::move(socket), kMostFrame) {}
+  explicit Link(Protocol::socket socket)
+      : RecordStream(std::move(socket), kMostFrame, StreamUse::successors) {}
 
   // Where the relay of this folder listens for its successor, however long the folder's path is.
   static Protocol::endpoint place(const std::string& folder);
--- a/relay/record_stream.h
+++ b/relay/record_stream.h
@@ -6,7 +6,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,6 +13,7 @@
 
 #include "bytes.h"
 #include "coroutine.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -22,7 +22,8 @@
  public:
   using Socket = typename Protocol::socket;
 
-  RecordStream(Socket socket, std::size_t most_frame) : socket_(std::move(socket)), most_frame_(most_frame) {}
+  RecordStream(Socket socket, std::size_t most_frame, StreamUse use)
+      : socket_(std::move(socket)), most_frame_(most_frame), use_(use) {}
 
   Socket& socket() { return socket_; }
 
@@ -70,8 +71,7 @@
   boost::asio::awaitable<void> write_out([[maybe_unused]] std::shared_ptr<RecordStream> self) {
     while (!queue_.empty()) {
       const std::string bytes = std::exchange(queue_, {});
-      const auto [error, written] =
-          co_await boost::asio::async_write(socket_, boost::asio::buffer(bytes), kAwait);
+      const auto error = co_await write_all(use_, socket_, bytes);
       if (error) {
         close();  // who reads learns of it
         queue_.clear();
@@ -82,6 +82,7 @@
 
   Socket socket_;
   std::size_t most_frame_;
+  StreamUse use_;
   std::string queue_;   // not written yet
   std::string buffer_;  // not read yet
   bool writing_ = false;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -9,6 +9,7 @@
 #include "admin_server.h"
 #include "message_trace.h"
 #include "slices.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -453,6 +454,8 @@
   std::cerr << "myrtlegrade: " << counters_ << " held=" << held_ << " calls_out=" << host_client_.calls_out()
             << " connections=" << host_client_.connections() << " opened=" << host_client_.opened()
             << " clients=" << server_.connections() << std::endl;
+  const std::string absorbed = to_text(absorbed_failures());
+  if (!absorbed.empty()) std::cerr << "myrtlegrade: absorbed: " << absorbed << std::endl;
 }
 
 void Relay::keep_log() {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -233,7 +233,7 @@
   std::shared_ptr<Syncer> syncer_;  // with durability `power`
   vetchhinge::Sender sender_;
   CallOwners owners_;  // outlives the connections
-  EventLog events_log_;
+  EventLog events_log_{"call"};
   HostClient host_client_;
   Endpoints endpoints_;
   Discovery discovery_;
--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "coroutine.h"
+#include "stream_io.h"
 #include "system_errors.h"
 
 namespace myrtlegrade {
@@ -276,7 +277,7 @@
 
 asio::awaitable<void> Server::accept() {
   while (true) {
-    auto [error, socket] = co_await acceptor_.async_accept(kAwait);
+    auto [error, socket] = co_await accept_next(StreamUse::clients, acceptor_);
     if (error && !acceptor_.is_open()) co_return;
     if (error) {
       // The system may have none left although this relay has not used all of its own.
@@ -425,7 +426,8 @@
     open = open && !draining_ && !leaving_ && goes_on(http::to_status_class(response->result()));
     response->keep_alive(open);
     session.stream.expires_after(kWriteWithin);
-    const auto [write_error, written] = co_await http::async_write(session.stream, *response, kAwait);
+    const std::string bytes = to_bytes(*response);
+    const auto write_error = co_await write_all(StreamUse::clients, session.stream, bytes);
     if (write_error) {
       if (!taken.empty()) on_unheard_(taken);
       co_return;
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "coroutine.h"
+#include "stream_io.h"
 #include "system_errors.h"
 
 namespace myrtlegrade {
@@ -320,7 +321,7 @@
 
 asio::awaitable<void> Succession::await_successors() {
   while (true) {
-    auto [error, socket] = co_await successors_.async_accept(kAwait);
+    auto [error, socket] = co_await accept_next(StreamUse::successors, successors_);
     if (!successors_.is_open()) co_return;
     if (error) {
       usage_timer_.expires_after(kLook);
--- a/relay/system_errors.h
+++ b/relay/system_errors.h
@@ -14,4 +14,14 @@
          error == errc::no_buffer_space || error == errc::not_enough_memory || error == errc::interrupted;
 }
 
+// Of an accept: the connection that was next is gone, or the network has told of its end already. accept(2)
+// asks for the next one then.
+inline bool of_one_connection(const boost::system::error_code& error) {
+  namespace errc = boost::system::errc;
+  return error == errc::connection_aborted || error == errc::protocol_error || error == errc::interrupted ||
+         error == errc::operation_not_permitted || error == errc::network_down ||
+         error == errc::no_protocol_option || error == errc::host_unreachable ||
+         error == errc::network_unreachable;
+}
+
 }  // namespace myrtlegrade
