Try a notice by the time that is left for it, in a module of its own

Cause: `Discovery::run_notices` gave each try 200 ms, also one that hung, and paused 20, 40, 80, 100 ms after one that failed at once: five tries in 300 ms, where a fresh connection fails with two in five. Forced: eight tries that fail at once take 0.68 s, two without an answer 0.49 s.

Change: `relay/notice_sender.*`, taken out of discovery: the length of a try and the pause behind it follow from what is left of the newest notice's time (a quarter, 40 ms at least; a thirty-second part, 2 to 8 ms). Tries that get no answer grow to 200 ms, pauses to 100 ms once the time is over, so that a slow service is heard and not stormed. The watch is written through stream_io too.

--- a/relay/discovery.cpp
+++ b/relay/discovery.cpp
@@ -5,13 +5,13 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <boost/json.hpp>
 #include <chrono>
 #include <iostream>
 #include <utility>
 
 #include "coroutine.h"
 #include "slices.h"
+#include "stream_io.h"
 #include "watch_reader.h"
 
 namespace myrtlegrade {
@@ -19,7 +19,6 @@
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
-namespace json = boost::json;
 namespace catalog = valedrum::catalog;
 using namespace std::chrono_literals;
 using SteadyClock = std::chrono::steady_clock;
@@ -34,22 +33,11 @@
 constexpr std::chrono::milliseconds kWatchAgainMost = 3200ms;
 constexpr int kMostDoublings = 4;
 constexpr std::size_t kMostCleared = 1'000;  // entries of a list of changes whose memory is used again (ours)
-constexpr std::size_t kMostNotices = 64;     // in one call
-constexpr auto kNoticeWithin = 200ms;  // for the answer, which comes at once; a notice that is late is lost
-constexpr auto kRetryFirst = 20ms;
-constexpr auto kRetryMost = 100ms;  // the agent is on this machine, and a notice is owed within 300 ms
 
 std::string host_of(const Endpoint& address) {
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
-std::string line_of(const Notice& notice) {
-  json::object line{{"message", notice.message},
-                    {"outcome", notice.handed_back ? "handed_back" : "given_up"}};
-  if (notice.handed_back && notice.retry_in > 0ms) line["retry_in_ms"] = notice.retry_in.count();
-  return json::serialize(line) + "\n";
-}
-
 }  // namespace
 
 Discovery::Discovery(asio::any_io_executor executor, Endpoint address, OnList on_list, OnLost on_lost,
@@ -58,8 +46,7 @@
       address_(std::move(address)),
       on_list_(std::move(on_list)),
       on_lost_(std::move(on_lost)),
-      on_settled_(std::move(on_settled)),
-      retry_(executor_) {}
+      notices_(executor_, address_, std::move(on_settled)) {}
 
 void Discovery::watch(std::int64_t from) {
   if (watch_) return;
@@ -80,15 +67,12 @@
   if (const Stream old = std::exchange(watch_, nullptr)) old->close();
   versions_.move();
   watch(from);
-  if (const Stream old = std::exchange(reports_, nullptr)) old->close();
-  retry_.cancel();
+  notices_.move(address);
 }
 
 void Discovery::stop() {
-  notices_.clear();
+  notices_.stop();
   if (const Stream old = std::exchange(watch_, nullptr)) old->close();
-  if (const Stream old = std::exchange(reports_, nullptr)) old->close();
-  retry_.cancel();
 }
 
 asio::awaitable<void> Discovery::run_watch(Stream stream) {
@@ -110,7 +94,8 @@
   const std::string from = std::to_string(versions_.open());
   http::request<http::empty_body> request{http::verb::get, "/catalog/members?watch=1&from=" + from, 11};
   request.set(http::field::host, host_of(address_));
-  const auto [write_error, written] = co_await http::async_write(stream, request, kAwait);
+  const std::string bytes = to_bytes(request);
+  const auto write_error = co_await write_all(StreamUse::watch, stream, bytes);
   if (write_error) co_return;
   beast::flat_buffer buffer;
   buffer.reserve(kReadAtOnce);
@@ -172,59 +157,4 @@
   return false;
 }
 
-void Discovery::send(Notice notice) {
-  notices_.push_back(std::move(notice));
-  if (!std::exchange(sending_, true)) spawn(executor_, run_notices());
-}
-
-asio::awaitable<void> Discovery::run_notices() {
-  std::chrono::milliseconds pause = kRetryFirst;
-  while (!notices_.empty()) {
-    const std::size_t count = std::min(notices_.size(), kMostNotices);
-    boost::system::error_code failed;
-    Stream stream = reports_;
-    if (!stream) {
-      stream = reports_ = std::make_shared<beast::tcp_stream>(executor_);
-      stream->expires_after(kNoticeWithin);
-      const auto [error] = co_await stream->async_connect(address_, kAwait);
-      failed = error;
-    }
-    http::response_parser<http::string_body> answer;
-    beast::flat_buffer buffer;
-    if (!failed && reports_ == stream) {
-      http::request<http::string_body> request{http::verb::post, "/v1/outcomes", 11};
-      request.set(http::field::host, host_of(address_));
-      request.set(http::field::content_type, "application/x-ndjson");
-      for (std::size_t i = 0; i < count; ++i) request.body() += line_of(notices_[i]);
-      request.prepare_payload();
-      stream->expires_after(kNoticeWithin);
-      const auto [write_error, written] = co_await http::async_write(*stream, request, kAwait);
-      failed = write_error;
-    }
-    if (!failed && reports_ == stream) {
-      const auto [read_error, read] = co_await http::async_read(*stream, buffer, answer, kAwait);
-      failed = read_error;
-    }
-    if (reports_ != stream) {  // moved to another address: said there at once
-      pause = kRetryFirst;
-      continue;
-    }
-    if (!failed && answer.get().result() == http::status::no_content) {
-      for (std::size_t i = 0; i < count; ++i) {
-        on_settled_(notices_.front().message);
-        notices_.pop_front();
-      }
-      pause = kRetryFirst;
-      if (!answer.keep_alive() || buffer.size() > 0) reports_ = nullptr;
-      continue;
-    }
-    // Saying it twice does no harm, not saying it loses the message.
-    reports_ = nullptr;
-    retry_.expires_after(pause);
-    co_await retry_.async_wait(kAwait);
-    pause = std::min<std::chrono::milliseconds>(pause * 2, kRetryMost);
-  }
-  sending_ = false;
-}
-
 }  // namespace myrtlegrade
--- a/relay/discovery.h
+++ b/relay/discovery.h
@@ -3,20 +3,19 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <utility>
 
 #include "catalog/list_reader.h"
 #include "host_list.h"
 #include "journal.h"
+#include "notice_sender.h"
 #include "watch_clock.h"
 
 namespace myrtlegrade {
@@ -29,7 +28,7 @@
   // It had been silent so long, and may be opened again after so long.
   using OnLost =
       std::function<void(std::chrono::steady_clock::duration silent, std::chrono::milliseconds again)>;
-  using OnSettled = std::function<void(const std::string& message)>;
+  using OnSettled = NoticeSender::OnSettled;
 
   Discovery(boost::asio::any_io_executor executor, Endpoint address, OnList on_list, OnLost on_lost,
             OnSettled on_settled);
@@ -45,8 +44,8 @@
   void stop();
 
   // Sent again until the platform has taken it.
-  void send(Notice notice);
-  bool notices_pending() const { return !notices_.empty(); }
+  void send(Notice notice) { notices_.send(std::move(notice)); }
+  bool notices_pending() const { return notices_.pending(); }
 
  private:
   using Stream = std::shared_ptr<boost::beast::tcp_stream>;
@@ -57,20 +56,15 @@
   boost::asio::awaitable<bool> take(valedrum::catalog::ListReader& reader, std::string_view bytes,
                                     Stream connection, bool& ended);
   bool may_take(std::int64_t version);
-  boost::asio::awaitable<void> run_notices();
 
   boost::asio::any_io_executor executor_;
   Endpoint address_;
   OnList on_list_;
   OnLost on_lost_;
-  OnSettled on_settled_;
   int spoilt_ = 0;  // lists in a row that were cut or can't be read
   ListVersions versions_;
-  Stream watch_;    // the connection of the watch that counts; none: not watching
-  Stream reports_;  // the connection that notices go out on, kept between them
-  bool sending_ = false;
-  std::deque<Notice> notices_;
-  boost::asio::steady_timer retry_;
+  Stream watch_;  // the connection of the watch that counts; none: not watching
+  NoticeSender notices_;
 };
 
 }  // namespace myrtlegrade
