Take a file of calls that was removed for closed connections at once

Cause: `CallOwners::look` treated a file that its owner had removed like one whose lock the kernel freed at the end of a killed process, and waited kLongestHoldUp (0.15 s) for connections that were closed before the file went (`Relay::successor_gone` cuts, then releases; `is_locked` answered false for both). That wait and the notice's tries together passed what is owed.

Ruled out as the answer: keeping the calls open without a link, for nobody could tell their outcomes in time; a shorter wait for killed processes, whose order of closing is the kernel's.

Change: three states of a file (locked, unlocked, removed), removed is gone at the next look. A file that is expected is looked at in a later turn, so that `gone` never comes from within `expect`.

--- a/relay/call_owners.cpp
+++ b/relay/call_owners.cpp
@@ -37,7 +37,9 @@
 
 void CallOwners::start() {
   started_ = Clock::now();
-  look();
+  if (name_.empty()) claim();
+  found_ = find_earlier();
+  look_after({});
 }
 
 void CallOwners::claim() {
@@ -72,18 +74,26 @@
   return true;
 }
 
-// As long as that can't be known, it is.
-bool CallOwners::is_locked(const std::string& name) const {
+// As long as that can't be known, it is locked.
+CallOwners::FileState CallOwners::state_of(const std::string& name) const {
   const int file = ::open(path(name).c_str(), O_RDWR | O_CLOEXEC);
-  if (file < 0) return errno != ENOENT;
+  if (file < 0) return errno == ENOENT ? FileState::removed : FileState::locked;
   const bool locked = ::flock(file, LOCK_EX | LOCK_NB) != 0;
   ::close(file);
-  return locked;
+  return locked ? FileState::locked : FileState::unlocked;
 }
 
 void CallOwners::expect(const std::string& name) {
   earlier_.emplace(name, std::nullopt);
-  if (started_ != Clock::time_point{} && !looking_) look();
+  if (started_ != Clock::time_point{} && !looking_) look_after(kLookEvery);
+}
+
+void CallOwners::look_after(Clock::duration pause) {
+  looking_ = true;
+  timer_.expires_after(pause);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) look();
+  });
 }
 
 void CallOwners::look() {
@@ -93,9 +103,10 @@
   const auto now = Clock::now();
   std::vector<std::string> gone;
   for (auto& [name, free_since] : earlier_) {
-    if (is_locked(name)) continue;
+    const FileState state = state_of(name);
+    if (state == FileState::locked) continue;
     if (!free_since) free_since = now;
-    if (now - *free_since >= kLongestHoldUp) gone.push_back(name);
+    if (state == FileState::removed || now - *free_since >= kLongestHoldUp) gone.push_back(name);
   }
   for (const std::string& name : gone) {
     earlier_.erase(name);
@@ -106,11 +117,7 @@
   const bool none_left = found_ && earlier_.empty() && now - started_ >= kLongestHoldUp;
   if (none_left) events_.none_left();
   if (none_left && !name_.empty()) return;
-  looking_ = true;
-  timer_.expires_after(kLookEvery);
-  timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) look();
-  });
+  look_after(kLookEvery);
 }
 
 }  // namespace myrtlegrade
--- a/relay/call_owners.h
+++ b/relay/call_owners.h
@@ -2,6 +2,14 @@
 // exclusive lock on a file of its own in the folder that lasts; the kernel frees it however the process ends.
 // A process that took over, or was started anew, so learns of earlier ones that live, are stopped, or that
 // nobody else can tell of any more.
+//
+//   state of the file   what it proves of that process's connections
+//   ------------------
+//   --------------------------------------------------------------------------------------- locked nothing:
+//   they may be open not locked          the process has ended or is ending: they are closed within
+//   kLongestHoldUp removed             they were closed before: release() comes after that, and whoever else
+//   removes a file has
+//                       waited until its owner was gone
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -41,7 +49,8 @@
   // No connection of this process carries a call any more, and none will.
   void release();
 
-  // One that others speak of: it is gone too if the folder does not know it.
+  // One that others speak of: it is gone too if the folder does not know it. That is never told before this
+  // returns.
   void expect(const std::string& name);
 
  private:
@@ -49,8 +58,10 @@
 
   void claim();
   bool find_earlier();
-  bool is_locked(const std::string& name) const;
+  enum class FileState { locked, unlocked, removed };
+  FileState state_of(const std::string& name) const;
   void look();
+  void look_after(Clock::duration pause);
   std::string path(const std::string& name) const { return folder_ + "/" + name; }
 
   std::string folder_;
