--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -256,6 +256,27 @@
   EXPECT_LT(told - watched_.read([&] { return closed; }), kAnswerWithin);
 }
 
+// The link is broken just as the old process is told to end, and comes up again at once. What happened: a
+// process that had no link in that moment ended alone, as in a plain restart, and what it had out was given
+// up by the next one only after it had gone (soak, seed 605: message 678 timed out 1.1 s before it was given
+// up; no `hands over` in the log).
+TEST_F(HandoverTest, ALinkThatIsLostForAMomentMakesNoRestartOfAnUpgrade) {
+  add_silent_host("p1", 3, "plain");
+  const fs::path broken = folder_ / "broken";
+  next_environment_ = {{"LD_PRELOAD", SHIM}, {"SOAK_BROKEN_LINK", broken}};
+  start_old(6000, 6000);
+  start_next(new_);
+  ASSERT_TRUE(wait_healthy(new_));
+  std::ofstream(broken) << "now";
+  call(new_->second_address(), "BANS");  // the old process is asked: its reply is what breaks the link
+  process_->signal(SIGTERM);
+  std::this_thread::sleep_for(50ms);
+  fs::remove(broken);
+  EXPECT_TRUE(wait_log(new_, "took over"));
+  EXPECT_EQ(process_->wait(), 0);
+  EXPECT_NE(process_->log().find("gave over"), std::string::npos) << process_->log();
+}
+
 // The old process is killed while another stands by: the lock on the folder is free before its connections
 // are closed. Not forced: the kernel's order decides.
 TEST_F(HandoverTest, WhatTheKilledProcessHadOutIsRepeatedOnceItsConnectionsAreClosed) {
