--- a/relay/copy_net.cpp
+++ b/relay/copy_net.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <utility>
 
+#include "copies_log.h"
 #include "coroutine.h"
 #include "moment.h"
 #include "stream_io.h"
@@ -317,6 +318,7 @@
         std::cerr << "myrtlegrade: copies: a frame of " << from << " can't be read" << std::endl;
       break;
     }
+    log_frame(log_, from, *frame);
     copies_->receive(now(), from, *frame);
     turn();
   }
--- a/relay/copy_net.h
+++ b/relay/copy_net.h
@@ -15,6 +15,7 @@
 #include "copies/copies.h"
 #include "copies_config.h"
 #include "copies_file.h"
+#include "event_log.h"
 #include "fleet_config.h"
 #include "record_stream.h"
 #include "recovery/disk.h"
@@ -84,6 +85,7 @@
   std::map<std::string, Peer> peers_;
   std::size_t accepted_ = 0;  // connections that others opened
   bool stopped_ = false, waits_ = false, turning_ = false, again_ = false, disk_failed_ = false;
+  EventLog log_{"copies"};
   std::uint64_t unread_ = 0;  // frames that could not be read
 };
 
