Wait for a lost link to come up again before an upgrade becomes a restart

Cause: `Succession::end` took a link that was down for there being no new process, closed its listening socket and drained alone: outcomes that come after the drain's end of decisions (1.5 s) are given up by the next process, once this one has gone. The same in `attend`, where the link breaks between the question whether the new process is ready and its answer.

Change: a link that was lost within 0.2 s, or is just coming up, is waited for up to 0.2 s, 0.7 s in all after the signal; the process serves on meanwhile, and the drain that may follow counts from the signal, so that its times hold.

Ruled out: telling ends in the drain itself after its decisions (the module takes no step then, by design).

--- a/relay/relay.h
+++ b/relay/relay.h
@@ -50,8 +50,8 @@
   void move_discovery(const Endpoint& address) { discovery_.move(address, endpoints_.version()); }
 
   // Works on for a short while with what can still be finished, then lets calls out end. `done` is called
-  // when the process may go; what is owed then stays in the journal.
-  void drain(std::function<void()> done);
+  // when the process may go; what is owed then stays in the journal. `since`: when it was told to end.
+  void drain(std::function<void()> done, std::chrono::steady_clock::time_point since);
 
   // ------------------------------------------------------------------ from one process to the next
   // Where all goes that comes to this process after it has given over.
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -84,10 +84,10 @@
   owners_.release();
 }
 
-void Relay::drain(std::function<void()> done) {
+void Relay::drain(std::function<void()> done, SteadyClock::time_point since) {
   if (std::exchange(draining_, true)) return;
   drained_ = std::move(done);
-  draining_since_ = SteadyClock::now();
+  draining_since_ = since;
   server_.drain();
   drain_further();
 }
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -3,6 +3,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <iostream>
@@ -25,6 +26,8 @@
 constexpr auto kLook = 20ms;       // between looks whether another process still is the relay
 constexpr auto kGreetWithin = 1s;  // for the other process to begin; one that is stalled says nothing
 constexpr auto kPrepareWithin = 300ms;
+constexpr auto kLinkAgainWithin = 200ms;  // for one that stood by and lost its link: it comes again
+constexpr auto kGiveOverWithin = 700ms;   // of the signal to end; the drain alone needs the rest
 // For a process that has just died to let go of the clients' address, or for the system to have descriptors
 // again.
 constexpr auto kAddressWithin = 6s;
@@ -72,10 +75,27 @@
 
 void Succession::end() {
   if (std::exchange(ending_, true)) return;
+  told_to_end_ = SteadyClock::now();
   if (!relay_) return done_();
-  boost::system::error_code ignored;
-  successors_.close(ignored);
-  if (!successor_ || !successor_ready_) return leave_alone();
+  if (successor_ready_) return ask_to_prepare();
+  const bool lost_just_now = link_lost_ && SteadyClock::now() - *link_lost_ < kLinkAgainWithin;
+  if (!successor_ && !lost_just_now) return leave_alone();
+  await_link();
+}
+
+// Serves on meanwhile. A link breaks by one failing call, and an upgrade must not become a restart by that.
+void Succession::await_link() {
+  awaits_link_ = true;
+  prepare_timer_.expires_at(std::min(SteadyClock::now() + kLinkAgainWithin, told_to_end_ + kGiveOverWithin));
+  prepare_timer_.async_wait([this](boost::system::error_code error) {
+    if (error || !std::exchange(awaits_link_, false)) return;
+    std::cerr << "myrtlegrade: the link to the new process does not come up again" << std::endl;
+    leave_alone();
+  });
+}
+
+void Succession::ask_to_prepare() {
+  awaits_link_ = false;
   // One that is stalled must not be given what it can't carry on.
   successor_->send(Writer(Frame::prepare));
   prepare_timer_.expires_after(kPrepareWithin);
@@ -86,13 +106,21 @@
   });
 }
 
+void Succession::close_successors() {
+  boost::system::error_code ignored;
+  successors_.close(ignored);
+}
+
 void Succession::leave_alone() {
+  close_successors();
   successor_ready_ = false;
   if (const Links link = std::exchange(successor_, nullptr)) link->close();
-  relay_->drain([this] {
-    if (fleet_) fleet_->leave();
-    done_();
-  });
+  relay_->drain(
+      [this] {
+        if (fleet_) fleet_->leave();
+        done_();
+      },
+      told_to_end_);
 }
 
 void Succession::reload(const Config& config) {
@@ -329,7 +357,7 @@
       continue;
     }
     // One at a time; others try again. Nor can anybody take over what can't serve yet itself.
-    if (successor_ || ending_ || !relay_->ready()) continue;
+    if (successor_ || (ending_ && !awaits_link_) || !relay_->ready()) continue;
     successor_ = std::make_shared<Link>(std::move(socket));
     spawn(executor_, attend(successor_));
   }
@@ -351,10 +379,9 @@
   // What clients handed in may be on its disk or not: no answer would be true.
   for (const auto& [token, respond] : std::exchange(handed_in_, {})) respond({Answer::Kind::failed, {}});
   if (given_over_) relay_->successor_gone();
-  if (std::exchange(successor_ready_, false) && ending_ && !given_over_) {
-    prepare_timer_.cancel();
-    leave_alone();
-  }
+  if (!std::exchange(successor_ready_, false) || given_over_) co_return;
+  link_lost_ = SteadyClock::now();
+  if (ending_) await_link();  // lost between the question and its answer
 }
 
 void Succession::heard_from_successor(const std::string& frame) {
@@ -362,6 +389,7 @@
   const auto kind = in.kind<Frame>();
   if (kind == Frame::hello) {
     successor_ready_ = in.number() == kLinkVersion;
+    if (successor_ready_ && awaits_link_) ask_to_prepare();
   } else if (kind == Frame::prepared) {
     if (ending_ && !given_over_ && successor_ready_) give_over();
   } else if (kind == Frame::answer) {
@@ -385,6 +413,7 @@
 void Succession::give_over() {
   given_over_ = true;
   prepare_timer_.cancel();
+  close_successors();
   Relay::Successor to;
   to.hand_in = [this](HandIn message, Server::Respond respond) {
     if (!successor_) return respond({Answer::Kind::refused, {}});
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -59,8 +59,11 @@
   boost::asio::awaitable<void> await_successors();
   boost::asio::awaitable<void> attend(Links link);
   void heard_from_successor(const std::string& frame);
+  void await_link();
+  void ask_to_prepare();
   void give_over();
   void leave_alone();
+  void close_successors();
   void tell_reloaded();
   void heard_reloaded(Reader& in);
   void tell_usage();
@@ -85,6 +88,9 @@
   bool standing_by_ = false;      // could take over at once
   bool successor_ready_ = false;  // has said which version it speaks
   bool ending_ = false, given_over_ = false;
+  bool awaits_link_ = false;  // it is to end, and its successor's link was lost a moment ago
+  std::chrono::steady_clock::time_point told_to_end_{};
+  std::optional<std::chrono::steady_clock::time_point> link_lost_;  // that a process stood by on
   boost::asio::local::stream_protocol::acceptor successors_;
   boost::asio::steady_timer invite_timer_, prepare_timer_, usage_timer_, room_timer_;
   std::string published_;  // in this relay's record
