Look at copies in time on a holder that rested

Symptom: a message whose relay and third member are silent gets its notice up to 10 s late from the holder that is left.

Cause: `Copies::wake` sets the next look 10 s off where nothing is held (`kRestLook`), and `Copies::receive` brought it forward for a group that is new alone, not for a new message of a group that is known.

Change: any word that brings items brings the look forward.

--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -318,7 +318,6 @@
       Group group(settings_, {self, word.head->copies}, {}, Group::Start::opened, now);
       at = groups_.emplace(word.group, Held{*word.head, std::move(group), now, now, true, {}, {}, {}}).first;
       records_.push_back({word.group, ToRecord::What::group, {}});
-      look_at_ = std::min(look_at_, now + kLook);
     } else if (word.say.kind == Kind::append || word.say.kind == Kind::ask) {
       Say refusal;
       refusal.kind = Kind::refuse;
@@ -362,6 +361,7 @@
   // The quickest word of this connection tells best what the other's clock shows.
   const auto [offset, first] = offsets_.try_emplace(from, now - word.say.at);
   offset->second = std::min(offset->second, now - word.say.at);
+  if (!say.items.empty()) look_at_ = std::min(look_at_, now + kLook);
   held.group.receive(now, say, offset->second);
   settle(at);
 }
