Name the members without the one view in the scale run, and what they hold

The run said only that there is no one view. Its JSON now names, for each phase, the first forty errors: which member holds which other for what, for how long, accused by how many, and in how much doubt of itself.

--- a/lab/scale/figures_of.cpp
+++ b/lab/scale/figures_of.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/json/array.hpp>
+#include <map>
 #include <set>
 #include <string>
 
@@ -19,6 +20,34 @@
 
 double number(const json::object& o, const char* name) { return o.at(name).to_number<double>(); }
 
+constexpr std::size_t kMostErrors = 40;  // that are told one by one
+
+// Whom a member holds for something else than what they are: `member` says that `of` is `holds`, for so long,
+// accused by so many, in so much doubt of itself. The first few.
+json::array errors_of_view(const std::vector<json::object>& said) {
+  std::map<std::string, bool> up;  // by name
+  for (const json::object& process : said) {
+    for (const json::value& m : process.at("members").as_array())
+      up[std::string(m.at("name").as_string())] = m.at("up").as_bool();
+  }
+  json::array errors;
+  for (const json::object& process : said) {
+    for (const json::value& m : process.at("members").as_array()) {
+      if (!m.at("up").as_bool()) continue;
+      for (const auto& [name, runs] : up) {
+        if (m.at("name").as_string() == name || errors.size() >= kMostErrors) continue;
+        const json::value* held = m.at("not_alive").as_object().if_contains(name);
+        const bool gone = held && held->at("state").as_string() != "suspect";
+        if (runs ? !held : gone) continue;
+        json::object error{{"member", m.at("name")}, {"of", name}, {"doubt", m.at("doubt")}};
+        error["holds"] = held ? *held : json::value("alive");
+        errors.push_back(std::move(error));
+      }
+    }
+  }
+  return errors;
+}
+
 }  // namespace
 
 json::object figures_of(const Phase& phase, const std::vector<json::object>& said, std::size_t others) {
@@ -95,6 +124,7 @@
                    {"measured", whole},
                    {"one_view", agree + others == up},
                    {"knowing_all", agree},
+                   {"errors_of_view", errors_of_view(said)},
                    {"digests", digests.size()},
                    {"view_within_s", std::move(view_within)},
                    {"sent_bytes_per_s", bytes.figure()},
--- a/lab/scale/hollow.cpp
+++ b/lab/scale/hollow.cpp
@@ -192,7 +192,15 @@
 }
 
 View Hollow::view() const {
-  return {members_->others().live(), members_->others().suspects(), members_->digest(), members_->settled()};
+  View view{members_->others().live(), members_->others().suspects(),
+            members_->digest(),        members_->settled(),
+            members_->doubt(),         {}};
+  for (const auto& [name, entry] : members_->others().entries()) {
+    const membership::Record& record = entry.record;
+    if (record.state < membership::State::suspect) continue;
+    view.not_alive.push_back({name, record.state, now() - entry.since, record.accusers.size()});
+  }
+  return view;
 }
 
 membership::Counters Hollow::counters() const {
--- a/lab/scale/hollow.h
+++ b/lab/scale/hollow.h
@@ -44,6 +44,14 @@
   std::size_t live = 0, suspects = 0;
   std::uint64_t digest = 0;
   bool settled = false;
+  unsigned doubt = 0;  // of itself
+  struct Judgement {
+    std::string name;
+    membership::State state{};
+    membership::Duration since{};  // in this state
+    std::size_t accusers = 0;
+  };
+  std::vector<Judgement> not_alive;  // whom it holds for suspect or gone
 };
 
 class Hollow : public std::enable_shared_from_this<Hollow> {
--- a/lab/scale/host.cpp
+++ b/lab/scale/host.cpp
@@ -20,6 +20,15 @@
 
 constexpr Duration kEndsBefore = 2ms;
 
+// By name: its state, seconds in it, and how many accuse it.
+json::object judgements(const View& view) {
+  json::object all;
+  for (const View::Judgement& j : view.not_alive) {
+    all[j.name] = {
+        {"state", membership::name_of(j.state)}, {"for_s", seconds(j.since)}, {"accusers", j.accusers}};
+  }
+  return all;
+}
 }  // namespace
 
 Host::Host(const Plan& plan, const Addresses& addresses, std::uint32_t from, std::uint32_t to)
@@ -172,6 +181,7 @@
       bytes.push_back(f.sent_bytes[k]);
     }
     json::object o{{"n", m},
+                   {"name", plan_.members[m].name},
                    {"up", h.up()},
                    {"whole", f.whole && h.up()},
                    {"sent", std::move(sent)},
@@ -192,6 +202,8 @@
       o["suspects"] = v.suspects;
       o["digest"] = v.digest;
       o["settled"] = v.settled;
+      o["doubt"] = v.doubt;
+      o["not_alive"] = judgements(v);
     }
     members.push_back(std::move(o));
   }
