Count a member as held up from the moment it planned, not from one that has passed

In each the members that were behind held a killed one for suspect since 1.09 to 1.24 s with all three accusers, in doubt 2 or 3 (their patience: 0.59 s, times 1 + doubt / 2). On an idle machine 290 stalls are counted, all in the cut, of 0.05 to 0.3 s, while no timer is that late. Ruled out: lost datagrams and missing confirmations (all accusers were there), the machine alone (virtual time counts 337).

Cause: `Membership::finish` planned the next wake for `next_wake()`, which may lie in the past: a confirmation shortens a suspicion's patience at once. `notice` took that for this member's own lateness, so that it doubted itself, dropped its probe and put all its suspicions off by as much.

Change: the planned wake is never before now.

--- a/membership/membership.cpp
+++ b/membership/membership.cpp
@@ -131,7 +131,8 @@
   if (verify_at_ == Time::max() && !verify_.empty()) verify_at_ = now;
   if (forget_at_ == Time::max() && table_.gone() > 0) forget_at_ = now + settings_.tombstone / 8;
   look_at_reach(now);
-  planned_ = next_wake();
+  // What was heard may make something due at once, even before now: that is not late yet.
+  planned_ = std::max(now, next_wake());
 }
 
 Time Membership::next_wake() const {
