Write the command line's calls through the one way to write

Symptom: `myrtlegrade status`, `offline` and the others say that nobody answers where their one write is cut short.

Cause: the fault of ShortWriteTest (Boost.Asio waits for an edge that a writable socket does not bring) in `ask` of relay/commands.cpp, which wrote with asio::async_write. No other write of the relay is left outside stream_io.

--- a/relay/commands.cpp
+++ b/relay/commands.cpp
@@ -1,9 +1,10 @@
 #include "commands.h"
 
-#include <boost/asio/connect.hpp>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <cstdio>
 #include <cstdlib>
@@ -16,7 +17,9 @@
 
 #include "command_line.h"
 #include "config.h"
+#include "coroutine.h"
 #include "journal_view.h"
+#include "stream_io.h"
 
 namespace myrtlegrade {
 namespace {
@@ -177,24 +180,28 @@
 
 // ------------------------------------------------------------------------------------- second address
 
+asio::awaitable<void> exchange_lines(const Endpoint& address, const std::string& text, std::size_t most,
+                                     std::optional<std::string>& reply) {
+  constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
+  asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
+  const auto [refused] = co_await socket.async_connect(address, kAwait);
+  if (refused) co_return;
+  const auto failed = co_await write_all(StreamUse::second_address, socket, text);
+  if (failed) co_return;
+  std::string line;
+  const auto [ended, size] =
+      co_await asio::async_read_until(socket, asio::dynamic_buffer(line, most), '\n', kAwait);
+  if (!ended) reply = line.substr(0, line.find_first_of("\r\n"));
+}
+
 // One line there and one back; nothing if nobody answers in time.
 std::optional<std::string> ask(const Endpoint& address, const std::string& line, std::size_t most = 4096) {
-  asio::io_context context(1);
-  asio::ip::tcp::socket socket(context);
-  std::string reply;
-  bool answered = false;
+  std::optional<std::string> reply;
   const std::string text = line + "\n";
-  socket.async_connect(address, [&](boost::system::error_code error) {
-    if (error) return;
-    asio::async_write(socket, asio::buffer(text), [&](boost::system::error_code failed, std::size_t) {
-      if (failed) return;
-      asio::async_read_until(socket, asio::dynamic_buffer(reply, most), '\n',
-                             [&](boost::system::error_code ended, std::size_t) { answered = !ended; });
-    });
-  });
+  asio::io_context context(1);
+  spawn(context.get_executor(), exchange_lines(address, text, most, reply));
   context.run_for(kReplyWithin);
-  if (!answered) return std::nullopt;
-  return reply.substr(0, reply.find_first_of("\r\n"));
+  return reply;
 }
 
 struct Call {
