Read what had come of an answer when a read of its connection fails

Cause: `HostClient::read_some` dropped the connection on any error of a read, with what lay in the socket unread. Linux gives what has come before it tells of an error; a read that fails for want of memory, and the soak's, tell the error first.

Change: after a failed read what is there is read once, without waiting, and counts. No bound or rate of the soak is changed.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -253,9 +253,10 @@
 
 asio::awaitable<bool> HostClient::read_some(Call& call) {
   Connection& connection = *call.connection;
-  const auto [error, count] =
-      co_await connection.socket.async_read_some(connection.buffer.prepare(kReadSize), kAwait);
-  if (error) co_return false;
+  const auto space = connection.buffer.prepare(kReadSize);
+  const auto [error, came] = co_await connection.socket.async_read_some(space, kAwait);
+  const std::size_t count = error ? connection.read_rest(space) : came;
+  if (count == 0) co_return false;
   connection.buffer.commit(count);
   if (!std::exchange(call.begun, true)) {
     call.rest_deadline = std::chrono::steady_clock::now() + kRestWithin;
--- a/relay/host_client_call.h
+++ b/relay/host_client_call.h
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -42,6 +43,14 @@
     return waiting;
   }
 
+  // After a read that failed: what had come before the connection broke is still there, and counts. 0:
+  // nothing.
+  std::size_t read_rest(boost::asio::mutable_buffer space) {
+    if (!socket.is_open()) return 0;
+    const ssize_t count = ::recv(socket.native_handle(), space.data(), space.size(), MSG_DONTWAIT);
+    return count > 0 ? static_cast<std::size_t>(count) : 0;
+  }
+
   // Something of what was written has not come to the host's machine yet, as far as this one knows.
   bool on_the_way() {
     int bytes = 0;
--- a/relay/stream_io.h
+++ b/relay/stream_io.h
@@ -20,7 +20,8 @@
 //   recv     a short count, EINTR              Boost.Asio goes on: it keeps its speculative read unless the
 //   end
 //                                              of the stream was read
-//   recv     ENOMEM                            the connection counts as broken, as with ECONNRESET
+//   recv     ENOMEM, ECONNRESET, ETIMEDOUT     the connection is broken; of a call's answer what had come
+//                                              before is read and counts (HostClient)
 //   connect  EADDRNOTAVAIL, ENETUNREACH,       told to the caller at once: each outgoing connection has a
 //            EHOSTUNREACH, ETIMEDOUT, EMFILE   retry of its own (calls, watch, notices, link, copies, fleet)
 //   connect  EINPROGRESS                       Boost.Asio waits, and arms the event anew for it
