--- a/lab/drive_parts.h
+++ b/lab/drive_parts.h
@@ -100,6 +100,7 @@
   asio::awaitable<void> play_ban(EndpointBan ban);
   asio::awaitable<void> call_until_acked(std::uint32_t relay, std::uint32_t host, bool out, Time until);
   asio::awaitable<void> move_discovery(double at);
+  asio::awaitable<void> move_agent(std::uint32_t relay);
   void open_agent(std::uint32_t relay);
   asio::awaitable<void> play_faults();
   asio::awaitable<void> play(const Fault& f);
