--- a/relay/commands.cpp
+++ b/relay/commands.cpp
@@ -1,10 +1,5 @@
 #include "commands.h"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 #include <cstdio>
 #include <cstdlib>
@@ -15,21 +10,19 @@
 #include <memory>
 #include <sstream>
 
+#include "admin_client.h"
 #include "command_line.h"
 #include "config.h"
-#include "coroutine.h"
 #include "journal_view.h"
-#include "stream_io.h"
 
 namespace myrtlegrade {
 namespace {
 
-namespace asio = boost::asio;
 namespace json = boost::json;
 using namespace std::chrono_literals;
 
 constexpr int kNo = 1, kNobody = 3;
-constexpr auto kReplyWithin = 2s;  // the relay owes it within one
+constexpr std::size_t kMostReply = 4096;  // bytes of the reply to a call
 
 std::string from_environment(const char* name) {
   const char* value = std::getenv(name);
@@ -180,30 +173,6 @@
 
 // ------------------------------------------------------------------------------------- second address
 
-asio::awaitable<void> exchange_lines(const Endpoint& address, const std::string& text, std::size_t most,
-                                     std::optional<std::string>& reply) {
-  constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-  asio::ip::tcp::socket socket(co_await asio::this_coro::executor);
-  const auto [refused] = co_await socket.async_connect(address, kAwait);
-  if (refused) co_return;
-  const auto failed = co_await write_all(StreamUse::second_address, socket, text);
-  if (failed) co_return;
-  std::string line;
-  const auto [ended, size] =
-      co_await asio::async_read_until(socket, asio::dynamic_buffer(line, most), '\n', kAwait);
-  if (!ended) reply = line.substr(0, line.find_first_of("\r\n"));
-}
-
-// One line there and one back; nothing if nobody answers in time.
-std::optional<std::string> ask(const Endpoint& address, const std::string& line, std::size_t most = 4096) {
-  std::optional<std::string> reply;
-  const std::string text = line + "\n";
-  asio::io_context context(1);
-  spawn(context.get_executor(), exchange_lines(address, text, most, reply));
-  context.run_for(kReplyWithin);
-  return reply;
-}
-
 struct Call {
   std::string verb, id, admin, config;
   bool as_json = false;
@@ -228,7 +197,7 @@
     if (id.find_first_of(" \r\n") != std::string::npos) throw std::runtime_error("an ID has no blanks");
     const Endpoint at = address();
     const std::string line = id.empty() ? verb : verb + " " + id;
-    const std::optional<std::string> reply = ask(at, line);
+    const std::optional<std::string> reply = ask_relay(at, line, kMostReply);
     const bool yes = reply && (*reply == "ACK" || reply->starts_with("ACK "));
     if (as_json) {
       json::object o{{"call", line}, {"address", text_of(at)}, {"answered", reply.has_value()}, {"ok", yes}};
@@ -251,7 +220,7 @@
   std::vector<std::string> others;  // second addresses to hold side by side
 
   static json::object fetch(const Endpoint& at, const std::string& what = "FLEET") {
-    const std::optional<std::string> reply = ask(at, what, kMostView);
+    const std::optional<std::string> reply = ask_relay(at, what, kMostView);
     if (!reply) throw Nobody{text_of(at)};
     if (!reply->starts_with("ACK ")) throw No{*reply};
     return json::parse(std::string_view(*reply).substr(4)).as_object();
