Keep a client's time limit in the lab from running after its request is over

Cause: a timer that has run out can't be cancelled; its handler may run after the coroutine, whose socket it looks at, has ended.

Change: the handler looks at a flag of its own first, which the coroutine clears. Ruled out for the crowd's timer, whose frame lives on for longer.

--- a/lab/drive_clients.cpp
+++ b/lab/drive_clients.cpp
@@ -101,11 +101,12 @@
   boost::beast::flat_buffer buffer;
   std::unique_ptr<tcp::socket> socket;
   asio::steady_timer limit(context_, kClientWaits);
-  const auto close = [&](boost::system::error_code waited) {
+  // A timer that has run out can't be cancelled any more: its handler may come after all this is gone.
+  const auto waits = std::make_shared<bool>(true);
+  limit.async_wait([waits, &socket](boost::system::error_code stopped) {
     boost::system::error_code ignored;
-    if (!waited && socket) socket->close(ignored);
-  };
-  limit.async_wait(close);
+    if (!stopped && *waits && socket) socket->close(ignored);
+  });
   for (int attempt = 0; attempt < 2;
        ++attempt) {  // once more where a kept connection had been closed meanwhile
     const bool kept = !node.idle.empty() && attempt == 0;
@@ -130,6 +131,7 @@
     buffer.clear();
   }
   limit.cancel();
+  *waits = false;
   Message& sent = messages_.at(id);
   if (sent.orphan) co_return;
   // An earlier process may still answer where the one that had taken over was killed: for the checker the
