--- /dev/null
+++ b/relay/command_call.cpp
@@ -0,0 +1,53 @@
+#include "command_call.h"
+
+#include <boost/json.hpp>
+#include <iostream>
+#include <optional>
+#include <stdexcept>
+
+#include "admin_client.h"
+#include "command_status.h"
+#include "config.h"
+
+namespace myrtlegrade {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kMostReply = 4096;  // bytes of the reply to a call
+
+}  // namespace
+
+Endpoint CallCommand::address() const {
+  if (!admin.empty()) return parse_endpoint(admin, "--admin");
+  if (const std::string own = from_environment("PROXY_ADMIN_ADDR"); !own.empty()) {
+    return parse_endpoint(own, "PROXY_ADMIN_ADDR");
+  }
+  const std::string path = config.empty() ? from_environment("PROXY_CONFIG") : config;
+  if (path.empty()) throw std::runtime_error("no second address: give --admin, --config or PROXY_ADMIN_ADDR");
+  const std::string text = read_file(path);
+  const Config c = parse_config(text, "");
+  if (!c.admin) throw std::runtime_error(path + ": names no second address (admin_addr)");
+  return *c.admin;
+}
+
+int CallCommand::run() const {
+  if (id.find_first_of(" \r\n") != std::string::npos) throw std::runtime_error("an ID has no blanks");
+  const Endpoint at = address();
+  const std::string line = id.empty() ? verb : verb + " " + id;
+  const std::optional<std::string> reply = ask_relay(at, line, kMostReply);
+  const bool yes = reply && (*reply == "ACK" || reply->starts_with("ACK "));
+  if (as_json) {
+    json::object o{{"call", line}, {"address", text_of(at)}, {"answered", reply.has_value()}, {"ok", yes}};
+    if (reply) o["reply"] = *reply;
+    std::cout << json::serialize(o) << '\n';
+  } else if (reply) {
+    std::cout << *reply << '\n';
+  } else {
+    std::cerr << "myrtlegrade: nobody answers at " << at << '\n';
+  }
+  return !reply ? kNobodyAnswers : yes ? 0 : kAnswerIsNo;
+}
+
+}  // namespace myrtlegrade
