--- a/lab/soak/shim.cpp
+++ b/lab/soak/shim.cpp
@@ -19,6 +19,9 @@
 //                  as long as this file is there, each read from a Unix socket breaks its connection
 //   SOAK_CLOSE_MS  each close of an internet socket comes so much later: the process is held up just before
 //   it
+//   SOAK_HOLD_UPS  "SHARE:FROM:UNTIL:GAP": behind that share of waits that returned, of reads and writes of
+//                  sockets and of syncs of files, the process is held up for 140 to 150 ms (STANDING allows
+//                  0.15 s), at most once in GAP milliseconds, so that two never add up
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
@@ -43,11 +46,17 @@
   double share = 0;
 };
 
+struct HoldUps {
+  Span span;
+  long gap_ms = 0;
+};
+
 struct Plan {
   std::uint64_t seed = 1;
   long begin_ms = 0;
   long step_at = 0, step_ms = 0;
   Span calls, folder;
+  HoldUps hold_ups;
   long close_ms = 0;
   long aborted_accept = 0, unix_sockets = 0;
   bool short_sends = false;
@@ -67,6 +76,14 @@
   return span;
 }
 
+HoldUps read_hold_ups(const char* name) {
+  HoldUps h;
+  const char* text = getenv(name);
+  Span& s = h.span;
+  if (!text || sscanf(text, "%lf:%ld:%ld:%ld", &s.share, &s.from, &s.until, &h.gap_ms) != 4) return {};
+  return h;
+}
+
 const Plan& plan() {
   static const Plan read = [] {
     Plan p;
@@ -75,6 +92,7 @@
     if (const char* clock = getenv("SOAK_CLOCK")) sscanf(clock, "%ld:%ld", &p.step_at, &p.step_ms);
     p.calls = read_span("SOAK_CALLS");
     p.folder = read_span("SOAK_FOLDER");
+    p.hold_ups = read_hold_ups("SOAK_HOLD_UPS");
     if (const char* count = getenv("SOAK_ABORTED_ACCEPT")) p.aborted_accept = strtol(count, nullptr, 10);
     if (const char* flag = getenv("SOAK_SHORT_SENDS")) p.short_sends = strcmp(flag, "1") == 0;
     p.broken_link = getenv("SOAK_BROKEN_LINK");
@@ -189,6 +207,25 @@
   }
 }
 
+// Whether none was within the gap; if so, one begins now.
+bool begins_hold_up() {
+  static std::atomic<long> next_ms{0};
+  long next = next_ms;
+  const long now = since_begin_ms();
+  return now >= next && next_ms.compare_exchange_strong(next, now + plan().hold_ups.gap_ms);
+}
+
+// Passes on what a call returned, and its error.
+template <typename Result>
+Result perhaps_held_up(Result result) {
+  constexpr double kLeastMs = 140, kMostMs = 150;
+  if (!happens(plan().hold_ups.span) || !begins_hold_up()) return result;
+  const int error = errno;
+  hold_up(static_cast<long>(kLeastMs + draw() * (kMostMs - kLeastMs)));
+  errno = error;
+  return result;
+}
+
 constexpr int kFolderErrors[] = {ENOSPC, EIO};
 
 // A message header for the first byte of another one.
@@ -276,7 +313,7 @@
   }
   const Disturbance d = disturb_stream(file);
   if (d == Disturbance::interrupted || d == Disturbance::broken) return -1;
-  return call(file, buffer, d == Disturbance::short_count && size > 1 ? 1 : size, flags);
+  return perhaps_held_up(call(file, buffer, d == Disturbance::short_count && size > 1 ? 1 : size, flags));
 }
 
 ssize_t send(int file, const void* buffer, size_t size, int flags) {
@@ -284,13 +321,14 @@
   if (cuts_send(file, size)) return call(file, buffer, 1, flags);
   const Disturbance d = disturb_stream(file);
   if (d == Disturbance::interrupted || d == Disturbance::broken) return -1;
-  return call(file, buffer, d == Disturbance::short_count && size > 1 ? 1 : size, flags);
+  return perhaps_held_up(call(file, buffer, d == Disturbance::short_count && size > 1 ? 1 : size, flags));
 }
 
 ssize_t recvmsg(int file, msghdr* message, int flags) {
   static const auto call = real<ssize_t (*)(int, msghdr*, int)>("recvmsg");
-  return stream_message(file, message,
-                        [&](const msghdr* m) { return call(file, const_cast<msghdr*>(m), flags); });
+  return stream_message(file, message, [&](const msghdr* m) {
+    return perhaps_held_up(call(file, const_cast<msghdr*>(m), flags));
+  });
 }
 
 ssize_t sendmsg(int file, const msghdr* message, int flags) {
@@ -300,12 +338,13 @@
     const FirstByte first(*message);
     return call(file, first.header(), flags);
   }
-  return stream_message(file, message, [&](const msghdr* m) { return call(file, m, flags); });
+  return stream_message(file, message,
+                        [&](const msghdr* m) { return perhaps_held_up(call(file, m, flags)); });
 }
 
 int epoll_wait(int file, epoll_event* events, int most, int timeout) {
   static const auto call = real<int (*)(int, epoll_event*, int, int)>("epoll_wait");
-  if (!happens(plan().calls)) return call(file, events, most, timeout);
+  if (!happens(plan().calls)) return perhaps_held_up(call(file, events, most, timeout));
   errno = EINTR;
   return -1;
 }
@@ -339,7 +378,7 @@
 
 int fdatasync(int file) {
   static const auto call = real<int (*)(int)>("fdatasync");
-  return happens(plan().folder) ? fail_with(kFolderErrors) : call(file);
+  return happens(plan().folder) ? fail_with(kFolderErrors) : perhaps_held_up(call(file));
 }
 
 int fsync(int file) {
--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -3,6 +3,7 @@
 #include <time.h>
 
 #include <algorithm>
+#include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
@@ -84,6 +85,11 @@
          std::to_string(span.share);
 }
 
+std::string hold_ups_text(const HoldUps& h) {
+  return std::to_string(h.share) + ":" + std::to_string(h.from_ms) + ":" + std::to_string(h.until_ms) + ":" +
+         std::to_string(h.gap_ms);
+}
+
 std::string upgrade_text(const UpgradeSeries& u) {
   return "upgrades x" + std::to_string(u.length) + (u.stall > 0 ? " stalled" : "") +
          (u.kill_last ? " killed" : "");
@@ -124,6 +130,23 @@
   plan.copies = draws.chance(0.1) && !plan.folder;
 }
 
+// Drawn apart, too. Earlier seeds have known days, which are named in lists of failures and in tests. Where
+// the day stops processes itself, a stop and a hold-up would add up to more than a relay has to bear.
+void draw_hold_ups(SoakPlan& plan) {
+  constexpr std::uint64_t kHoldUps = 0x68656c642d757073, kFirstSeed = 2000;
+  if (plan.seed < kFirstSeed) return;
+  Draws draws(plan.seed ^ kHoldUps);
+  const bool drawn = draws.chance(0.5);
+  constexpr double shares[] = {0.005, 0.02, 0.05, 0.2};
+  HoldUps h{.share = draws.one_of(shares)};
+  h.from_ms = static_cast<long>(draws.between(0, kMiddle) * kSecondMs);
+  h.until_ms = h.from_ms + static_cast<long>(draws.between(4, kSeconds) * kSecondMs);
+  const bool stops = std::ranges::any_of(plan.scenario.faults,
+                                         [](const FaultSpec& f) { return f.kind == FaultKind::stall; }) ||
+                     (plan.upgrades && plan.upgrades->stall > 0);
+  if (drawn && !stops) plan.hold_ups = h;
+}
+
 // The relays' own count, from the last line of counters of each log.
 std::uint64_t violations_in(const std::string& folder) {
   std::uint64_t sum = 0;
@@ -144,6 +167,11 @@
   if (clock) names.push_back("clock " + std::to_string(clock->step_ms) + " ms");
   if (calls) names.push_back("system calls " + std::to_string(static_cast<int>(calls->share * 100)) + "%");
   if (folder) names.push_back("folder " + std::to_string(static_cast<int>(folder->share * 100)) + "%");
+  if (hold_ups) {
+    char text[32];
+    std::snprintf(text, sizeof text, "hold-ups %g%%", hold_ups->share * 100);
+    names.emplace_back(text);
+  }
   if (reload_every) names.emplace_back("reloads");
   if (upgrades) names.push_back(upgrade_text(*upgrades));
   if (ban) names.emplace_back("ban");
@@ -163,6 +191,7 @@
   if (name.starts_with("clock")) less.clock.reset();
   if (name.starts_with("system calls")) less.calls.reset();
   if (name.starts_with("folder")) less.folder.reset();
+  if (name.starts_with("hold-ups")) less.hold_ups.reset();
   if (name == "reloads") less.reload_every.reset();
   if (name.starts_with("upgrades")) less.upgrades.reset();
   if (name == "ban") less.ban.reset();
@@ -207,9 +236,15 @@
   }
   if (draws.chance(0.3)) plan.reload_every = draws.between(0.2, 1);
   draw_operations(plan);
+  draw_hold_ups(plan);
   return plan;
 }
 
+HoldUps hold_ups_all_day(double share) {
+  // A day's last messages run on behind its end.
+  return {.share = share, .until_ms = 10 * static_cast<long>(kSeconds) * kSecondMs};
+}
+
 SoakResult play_soak(const SoakPlan& plan, const SoakOptions& options) {
   SoakResult result;
   fs::remove_all(options.folder);
@@ -235,7 +270,7 @@
     drive_options.environment["PROXY_TRACE"] = "1";
   }
   auto& environment = drive_options.environment;
-  if (plan.clock || plan.calls || plan.folder) environment["LD_PRELOAD"] = options.shim;
+  if (plan.clock || plan.calls || plan.folder || plan.hold_ups) environment["LD_PRELOAD"] = options.shim;
   environment["SOAK_SEED"] = std::to_string(plan.seed);
   environment["SOAK_BEGIN_MS"] = std::to_string(now.tv_sec * kSecondMs + now.tv_nsec / 1'000'000);
   if (plan.clock) {
@@ -243,6 +278,7 @@
   }
   if (plan.calls) environment["SOAK_CALLS"] = span_text(*plan.calls);
   if (plan.folder) environment["SOAK_FOLDER"] = span_text(*plan.folder);
+  if (plan.hold_ups) environment["SOAK_HOLD_UPS"] = hold_ups_text(*plan.hold_ups);
   try {
     result.drive = drive(draw(plan.scenario, plan.seed), drive_options);
   } catch (const std::runtime_error& e) {
--- a/lab/soak/soak.h
+++ b/lab/soak/soak.h
@@ -16,6 +16,12 @@
   long from_ms = 0, until_ms = 0;
   double share = 0;  // of the calls that fail
 };
+// Of a process, each for 140 to 150 ms; `share` of its waits, reads, writes and syncs.
+struct HoldUps {
+  double share = 0;
+  long from_ms = 0, until_ms = 0;
+  long gap_ms = 500;  // one begins at most once in so long
+};
 struct ClockStep {
   long at_ms = 0, step_ms = 0;
 };
@@ -25,6 +31,7 @@
   Scenario scenario;  // settings, load, and what happens to processes, endpoints and the network
   std::optional<ClockStep> clock;
   std::optional<ShimSpan> calls, folder;
+  std::optional<HoldUps> hold_ups;
   std::optional<double> reload_every;  // seconds between two SIGHUPs
   std::optional<UpgradeSeries> upgrades;
   std::optional<EndpointBan> ban;
@@ -44,6 +51,9 @@
 // failing system calls, all day, beside one drawn trouble of the processes.
 SoakPlan draw_soak(std::uint64_t seed, std::optional<double> only_calls = std::nullopt);
 
+// All day, behind that share of calls.
+HoldUps hold_ups_all_day(double share);
+
 struct SoakResult {
   DriveResult drive;
   std::string failure;           // the run could not be played: a relay did not start, or crashed
--- a/lab/soak/tool_soak.cpp
+++ b/lab/soak/tool_soak.cpp
@@ -20,7 +20,7 @@
 
 struct SoakCommand {
   std::uint64_t seed = 1;
-  double calls = 0;
+  double calls = 0, hold_ups = 0;
   unsigned shrink_runs = 0;
   std::string program = "build/myrtlegrade", shim, folder, json_path;
 
@@ -33,6 +33,7 @@
     }
     SoakOptions options{fs::absolute(program), shim_path(), folder.empty() ? own : folder, &stopped};
     SoakPlan plan = draw_soak(seed, calls > 0 ? std::optional(calls) : std::nullopt);
+    if (hold_ups > 0) plan.hold_ups = hold_ups_all_day(hold_ups);
     const SoakResult result = play_soak(plan, options);
     const bool good = result.good();
     if (!good && shrink_runs > 0) plan = shrink(plan, options, shrink_runs);
@@ -110,6 +111,9 @@
   sub->add_option("--calls", command->calls,
                   "Share of system calls that fail, in place of most drawn troubles")
       ->check(CLI::Range(0.0, 0.5));
+  sub->add_option("--hold-ups", command->hold_ups,
+                  "Share of waits, reads, writes and syncs behind which a process is held up, all day")
+      ->check(CLI::Range(0.0, 1.0));
   sub->add_option("--shrink", command->shrink_runs, "Further plays to find the troubles that are needed")
       ->check(CLI::Range(0, 20));
   sub->add_option("--program", command->program, "The relay")
