Count a relay that was told to end as one that can end what it holds

The check of a lost copied message excuses it where its relay and all that held it are down. Now a relay is down from its death until 1.5 s after it is ready again.

Tests: a holder, and likewise the message's own relay, was told to end and runs on, the other one is killed: both failed on the check of before (0 losses seen for 1). Besides, what the check has to go on seeing: a holder that runs and tells 10 s late, and one whose log says that it holds a copy while it keeps none.

--- a/lab/checker.cpp
+++ b/lab/checker.cpp
@@ -126,7 +126,7 @@
     case What::died:
       return died(o);
     case What::ready:
-      ready_[o.relay] = o.at;
+      ready_[o.relay] = runs_[o.relay] = o.at;
       return;
     case What::moved:
       return moved(o);
@@ -277,7 +277,7 @@
 
 // Its calls may have run; its waits are forgotten with it. What its lost folder held is handed in anew.
 void Checker::died(const Observation& o) {
-  ready_[o.relay] = Time::max();
+  ready_[o.relay] = runs_[o.relay] = Time::max();
   std::erase_if(waits_, [&](const auto& w) { return w.first.first == o.relay; });
   std::vector<std::uint32_t> over;
   for (auto& [id, m] : messages_) {
@@ -295,21 +295,22 @@
 }
 
 // None: this relay has been up for long enough.
-std::optional<Time> Checker::due_by_restart(std::uint32_t relay, const Due& due, Time now) const {
-  const auto ready = ready_.find(relay);
-  if (ready == ready_.end()) return std::nullopt;
-  if (ready->second == Time::max()) return now + kRestartSlack;
-  if (ready->second + kRestartSlack < due.at) return std::nullopt;
-  return ready->second + kRestartSlack + 1us;
+std::optional<Time> Checker::due_by_restart(const Ready& ready, std::uint32_t relay, const Due& due,
+                                            Time now) {
+  const auto since = ready.find(relay);
+  if (since == ready.end()) return std::nullopt;
+  if (since->second == Time::max()) return now + kRestartSlack;
+  if (since->second + kRestartSlack < due.at) return std::nullopt;
+  return since->second + kRestartSlack + 1us;
 }
 
 // None: one of them could have ended it.
 std::optional<Time> Checker::due_by_holders(const Message& m, const Due& due, Time now) const {
   const auto holders = slack_.holders ? slack_.holders(due.message) : std::vector<std::uint32_t>{};
   if (holders.empty()) return std::nullopt;
-  std::optional<Time> first = due_by_restart(m.relay, due, now);
+  std::optional<Time> first = due_by_restart(runs_, m.relay, due, now);
   for (const std::uint32_t holder : holders) {
-    const auto later = due_by_restart(holder, due, now);
+    const auto later = due_by_restart(runs_, holder, due, now);
     if (!first || !later) return std::nullopt;
     first = std::min(*first, *later);
   }
@@ -337,7 +338,7 @@
       }
       continue;
     }
-    if (const auto later = due_by_restart(m->relay, due, now)) {
+    if (const auto later = due_by_restart(ready_, m->relay, due, now)) {
       due_.push({*later, due.message, due.rule});
     } else {
       break_rule(due.rule, due.at, due.message);
--- a/lab/checker.h
+++ b/lab/checker.h
@@ -90,7 +90,8 @@
     Duration heirs{};
     // Which relays held a copy of it. Where all of them, and its own relay, are down when its end is due,
     // that is owed as by a restarted relay: nothing is promised where all that hold a message are gone
-    // (copies.md). Without this, or where nobody held it, its end is due whoever is down.
+    // (copies.md). One that was told to end runs until it has died: it can end what it holds. Without this,
+    // or where nobody held it, its end is due whoever is down.
     std::function<std::vector<std::uint32_t>(std::uint32_t message)> holders{};
   };
   explicit Checker(const Day& day) : Checker(day, Slack{}) {}
@@ -140,7 +141,9 @@
   void moved(const Observation& o);
   void died(const Observation& o);
   void check_due(Time now);
-  std::optional<Time> due_by_restart(std::uint32_t relay, const Due& due, Time now) const;
+  using Ready = std::unordered_map<std::uint32_t, Time>;  // relays after a start; Time::max(): not there
+  static std::optional<Time> due_by_restart(const Ready& ready, std::uint32_t relay, const Due& due,
+                                            Time now);
   std::optional<Time> due_by_holders(const Message& m, const Due& due, Time now) const;
   void break_rule(Rule rule, Time at, std::uint32_t message, const std::string& note = {});
   void forget_if_over(std::uint32_t message);
@@ -157,7 +160,8 @@
   std::map<std::pair<std::uint32_t, std::uint32_t>, Time> barred_;  // relay and host; Time::max(): free
   std::unordered_map<std::uint32_t, Host> hosts_;
   std::unordered_set<std::uint32_t> stalled_;
-  std::unordered_map<std::uint32_t, Time> ready_;  // relays that are up after a start; Time::max(): down
+  Ready ready_;  // a relay that was told to end isn't there any more
+  Ready runs_;   // it is until it has died
   std::priority_queue<Due, std::vector<Due>, std::greater<>> due_;
   using Ended = std::pair<std::uint32_t, std::vector<Observation>>;
   std::deque<Ended> ended_;  // the newest, with their histories
--- a/tests/lab_rules_test.cpp
+++ b/tests/lab_rules_test.cpp
@@ -3,11 +3,14 @@
 #include <gtest/gtest.h>
 
 #include <cmath>
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <set>
 
 #include "checker.h"
+#include "copy_holders.h"
 #include "plays.h"
 #include "policy.h"
 #include "scenario.h"
@@ -259,9 +262,8 @@
  protected:
   CopiedMessage()
       : day_(draw(parse_scenario("version = 1\nname = \"copied\"\nseconds = 10\n", "copied"), 1)),
-        checker_(day_, {.copied = true, .heirs = 3s, .holders = [](std::uint32_t) {
-                          return std::vector<std::uint32_t>{1};
-                        }}) {
+        checker_(day_,
+                 {.copied = true, .heirs = 3s, .holders = [this](std::uint32_t) { return holders_(); }}) {
     see({.at = at(1s), .what = What::handed_in, .relay = 0, .message = 5, .until = at(2s)});
     see({.at = at(1s), .what = What::taken, .relay = 0, .message = 5});
   }
@@ -275,6 +277,9 @@
     return checker_.count(Rule::lost);
   }
 
+  void tell_to_end(std::uint32_t relay) { see({.at = at(1400ms), .what = What::leaving, .relay = relay}); }
+
+  std::function<std::vector<std::uint32_t>()> holders_ = [] { return std::vector<std::uint32_t>{1}; };
   Day day_;
   Checker checker_;
 };
@@ -306,5 +311,55 @@
   EXPECT_EQ(lost_by(9s), 0U);
 }
 
+// A process that was told to end runs on for seconds, and can tell what it holds: excused from its SIGTERM
+// on, it could sit on every message.
+TEST_F(CopiedMessage, IsLostWhereItsHolderWasToldToEndAndRunsStill) {
+  tell_to_end(1);
+  kill(0);
+  EXPECT_EQ(lost_by(2400ms), 1U);
+}
+
+TEST_F(CopiedMessage, IsLostWhereItsRelayWasToldToEndAndRunsStill) {
+  tell_to_end(0);
+  kill(1);
+  EXPECT_EQ(lost_by(2400ms), 1U);
+}
+
+TEST_F(CopiedMessage, IsOwedAfterTheFirstReturnWhereAHolderEndedAfterItsSignal) {
+  tell_to_end(1);
+  kill(0);
+  kill(1);
+  EXPECT_EQ(lost_by(2400ms), 0U);
+  see({.at = at(4s), .what = What::ready, .relay = 1});
+  EXPECT_EQ(lost_by(5600ms), 1U);
+}
+
+// A holder that runs and says so late is no excuse for the 0.3 s.
+TEST_F(CopiedMessage, IsLostWhereItsHolderTellsTenSecondsLate) {
+  kill(0);
+  see({.at = at(12s), .what = What::failed, .relay = 1, .message = 5});
+  EXPECT_EQ(lost_by(13s), 1U);
+}
+
+// Who held it is what logs say: one that logs a copy and keeps none is a holder that runs, and tells nothing.
+TEST_F(CopiedMessage, IsLostWhereAHolderThatRunsOnlyLoggedItsCopy) {
+  std::string folder = (std::filesystem::temp_directory_path() / "copy-holders-XXXXXX").string();
+  ASSERT_NE(mkdtemp(folder.data()), nullptr);
+  const auto log = [&](std::uint32_t relay, const char* line) {
+    std::filesystem::create_directories(folder + "/relay-" + std::to_string(relay));
+    std::ofstream(folder + "/relay-" + std::to_string(relay) + "/log") << line << '\n';
+  };
+  log(0, "myrtlegrade trace 1.000 0000000000000005 taken");
+  log(1, "myrtlegrade trace 1.001 0000000000000005 copy_held from=n0 body=1 epoch=1");
+  log(2, "myrtlegrade trace 1.001 0000000000000005 copy_held from=n0 body=1 epoch=1");
+  log(3, "myrtlegrade trace 1.001 0000000000000006 copy_held from=n0 body=1 epoch=1");
+  holders_ = [&] { return copy_holders(folder, 4, "0000000000000005"); };
+  EXPECT_EQ(holders_(), (std::vector<std::uint32_t>{1, 2}));
+  kill(0);
+  kill(1);
+  EXPECT_EQ(lost_by(2400ms), 1U) << "relay 2 runs";
+  std::filesystem::remove_all(folder);
+}
+
 }  // namespace
 }  // namespace valedrum::lab
