Write what a soak sees from outside beside the logs it keeps

Tracing a broken play took guessing: the history ends at the broken rule, and the relays' traces tell another clock. The folder now has `observations`: all that the checker sees, on the clock of the traces.

--- a/lab/soak/soak.cpp
+++ b/lab/soak/soak.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <memory>
 #include <random>
 
 namespace valedrum::lab {
@@ -147,6 +148,18 @@
   if (drawn && !stops) plan.hold_ups = h;
 }
 
+// What can be seen from outside, on the clock that the relays' traces tell.
+std::function<void(const Observation&)> observations_to(const std::string& path) {
+  return [file = std::make_shared<std::ofstream>(path)](const Observation& o) {
+    timespec now{};
+    ::clock_gettime(CLOCK_MONOTONIC, &now);
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f",
+                  static_cast<double>(now.tv_sec) * kSecondMs + static_cast<double>(now.tv_nsec) / 1e6);
+    *file << text << ' ' << to_text(o) << std::endl;
+  };
+}
+
 // The relays' own count, from the last line of counters of each log.
 std::uint64_t violations_in(const std::string& folder) {
   std::uint64_t sum = 0;
@@ -255,6 +268,7 @@
   drive_options.program = options.program;
   drive_options.folder = options.folder;
   drive_options.stop = options.stop;
+  drive_options.watch = observations_to(options.folder + "/observations");
   drive_options.reload_every = plan.reload_every;
   drive_options.second_address = true;
   drive_options.signals_twice = plan.signals_twice;
