--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -43,9 +43,10 @@
   for (auto& [id, entry] : stored.groups) {
     Group group(settings_, {entry.self, entry.head.copies}, std::move(entry.durable), Group::Start::restarted,
                 now);
-    const auto at = groups_.emplace(id, Held{entry.head, std::move(group), now, now, true, {}, {}, {}}).first;
+    const auto at = groups_.emplace(id, Held{entry.head, std::move(group), now, now, true}).first;
     for (const auto& [item_id, item] : at->second.group.items()) {
       where_.insert_or_assign(item_id, id);
+      at->second.ends.update(item_id, &item);
       if (entry.self != 0) held_bytes_ += size_of(item);
     }
   }
@@ -124,7 +125,7 @@
   head.seats[0] = self_.seat;
   for (Place p = 1; p < kVoters; ++p) head.seats[p] = chosen[p - 1U]->seat;
   Group group(settings_, {0, head.copies}, {}, Group::Start::opened, now);
-  const auto at = groups_.emplace(id, Held{head, std::move(group), now, now, false, {}, {}, {}}).first;
+  const auto at = groups_.emplace(id, Held{head, std::move(group), now, now, false}).first;
   current_[shard] = id;
   records_.push_back({id, ToRecord::What::group, {}});
   ++counters_.groups;
@@ -316,7 +317,7 @@
                       place_of(*word.head, from) < kVoters;
     if (word.say.kind == Kind::append && mine) {
       Group group(settings_, {self, word.head->copies}, {}, Group::Start::opened, now);
-      at = groups_.emplace(word.group, Held{*word.head, std::move(group), now, now, true, {}, {}, {}}).first;
+      at = groups_.emplace(word.group, Held{*word.head, std::move(group), now, now, true}).first;
       records_.push_back({word.group, ToRecord::What::group, {}});
     } else if (word.say.kind == Kind::append || word.say.kind == Kind::ask) {
       Say refusal;
@@ -400,9 +401,9 @@
   for (const std::string& id : changed.items) {
     records_.push_back({at->first, ToRecord::What::item, id});
     const Item* item = group.find(id);
+    held.ends.update(id, item);
     if (!item) {
       where_.erase(id);
-      held.expired.erase(id);
       continue;
     }
     where_.emplace(id, at->first);
@@ -435,21 +436,19 @@
   }
 }
 
-void Copies::look_at(Time now, Groups::iterator at) {
-  Held& held = at->second;
-  for (const auto& [id, item] : held.group.items()) {
-    if (!item.live() || now < item.until + settings_.notice_after || !held.expired.insert(id).second)
-      continue;
+void Copies::tell_ends(Time now, Held& held) {
+  while (held.next_end() <= now) {
+    const std::string id = held.ends.pop_first();
+    const Item* item = held.group.find(id);
+    if (!item || !item->live()) continue;
     ++counters_.expired;
-    events_.emplace_back(Expired{id, item.owed.value_or(Owed{})});
+    events_.emplace_back(Expired{id, item->owed.value_or(Owed{})});
   }
-  held.group.prune(now, kRemembered);
-  settle(at);
-  held.sealed = held.sealed || now > held.opened + settings_.group_for;
 }
 
 void Copies::wake(Time now) {
   for (auto at = groups_.begin(); at != groups_.end(); ++at) {
+    tell_ends(now, at->second);
     if (at->second.group.next_wake() > now) continue;
     at->second.group.wake(now);
     settle(at);
@@ -458,8 +457,10 @@
     bool any = false;
     held_bytes_ = own_bytes_ = 0;
     for (auto at = groups_.begin(); at != groups_.end();) {
-      look_at(now, at);
-      const Held& held = at->second;
+      Held& held = at->second;
+      held.group.prune(now, kRemembered);
+      settle(at);
+      held.sealed = held.sealed || now > held.opened + settings_.group_for;
       const bool own = held.group.shape().self == 0;
       for (const auto& [id, item] : held.group.items()) (own ? own_bytes_ : held_bytes_) += size_of(item);
       any = any || !held.group.items().empty();
@@ -479,7 +480,7 @@
 
 Time Copies::next_wake() const {
   Time next = groups_.empty() ? Time::max() : look_at_;
-  for (const auto& [id, held] : groups_) next = std::min(next, held.group.next_wake());
+  for (const auto& [id, held] : groups_) next = std::min({next, held.next_end(), held.group.next_wake()});
   for (const Ticket& t : tickets_) next = std::min(next, t.until);
   return next;
 }
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -25,6 +25,7 @@
 #include <vector>
 
 #include "copies/codec.h"
+#include "copies/ends.h"
 
 namespace valedrum::copies {
 
@@ -41,7 +42,6 @@
   Duration answer_within = std::chrono::milliseconds(200);  // for a client that waits: less than its patience
   Duration avoid_for = std::chrono::seconds(5);             // one that did not answer or had no room
   Duration group_for = std::chrono::minutes(5);             // then another one is opened in its place
-  Duration notice_after = std::chrono::milliseconds(100);   // a message's time, by those that do not own it
   std::size_t budget = 1 << 20;  // bytes of bodies held for others; as many of its own
 };
 // Throws std::invalid_argument whose text begins with the field at fault.
@@ -168,10 +168,11 @@
     Head head;
     Group group;
     Time opened{}, heard{};
-    bool sealed = false;                         // takes no more messages
-    std::array<bool, kVoters> knows{};           // has answered in it
-    std::array<bool, kVoters> useless{};         // does not know it any more
-    std::set<std::string, std::less<>> expired;  // their notice is told
+    bool sealed = false;                  // takes no more messages
+    std::array<bool, kVoters> knows{};    // has answered in it
+    std::array<bool, kVoters> useless{};  // does not know it any more
+    Ends ends{};
+    Time next_end() const { return ends.next(group.owner_silent_from()); }
   };
   using Groups = std::map<GroupId, Held>;
   struct Ticket {
@@ -189,7 +190,7 @@
   template <typename Change>
   void change(Time now, const std::string& id, Change&& how);
   void settle(Groups::iterator at);  // after anything that a group has heard or done
-  void look_at(Time now, Groups::iterator at);
+  void tell_ends(Time now, Held& held);
   void hand_out(Groups::iterator at, const std::string& id);
   enum class Answer : std::uint8_t { wait, good, bad };
   Answer answer(Time now, const Ticket& ticket);
@@ -214,7 +215,7 @@
   std::set<std::string, std::less<>> alone_;
   std::vector<Ticket> tickets_;
   std::uint64_t last_ticket_ = 0;
-  Time look_at_{};  // next sweep over what is held
+  Time look_at_{};  // next sweep, for memory alone
   std::size_t held_bytes_ = 0, own_bytes_ = 0;
   bool no_room_ = false;  // said with the frames of this turn
 
--- /dev/null
+++ b/copies/ends.h
@@ -0,0 +1,47 @@
+// When the messages of a group have to have their ends, and how long those that hold them leave that to their
+// owner.
+//
+// A notice is owed kNoticeOwed after a message's time, and each holder keeps that by itself: it can't know
+// that the other one lives, nor what that one has told. Two notices of one message do no harm. Of the time
+// that is owed,
+//
+//   kClockError    the message's time may be late by here: a copy's clock is told by the quickest word
+//   kLeftToOwner   a holder waits for an owner that it hears
+//   kLongestHoldUp it may be held up for, once, anywhere on this way
+//   kNoticeTakes   its notice takes: a first try without an answer (a quarter of what NoticeSender counts
+//                  with), the pause, and a second one
+//
+// are 300 ms together. An owner that has said nothing for longer than it may be silent is not waited for.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "copies/types.h"
+
+namespace valedrum::copies {
+
+inline constexpr Duration kNoticeOwed = std::chrono::milliseconds(300);
+inline constexpr Duration kLongestHoldUp = std::chrono::milliseconds(150);
+inline constexpr Duration kNoticeTakes = std::chrono::milliseconds(100);
+inline constexpr Duration kClockError = std::chrono::milliseconds(10);
+inline constexpr Duration kLeftToOwner = kNoticeOwed - kLongestHoldUp - kNoticeTakes - kClockError;
+
+// The messages of one group that have no end yet, by their time. Each comes out once.
+class Ends {
+ public:
+  // As it is by now; none: it is forgotten.
+  void update(const std::string& id, const Item* item);
+  // When the first one is to be ended here, where its owner counts as silent from then on.
+  Time next(Time silent_from) const;
+  std::string pop_first();
+
+ private:
+  std::map<std::string, Time, std::less<>> times_;
+  std::set<std::pair<Time, std::string>> by_time_;
+  std::set<std::string, std::less<>> told_;
+};
+
+}  // namespace valedrum::copies
--- a/copies/group.cpp
+++ b/copies/group.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "copies/ends.h"
+
 namespace valedrum::copies {
 namespace {
 
@@ -276,6 +278,10 @@
   return next;
 }
 
+Time Group::owner_silent_from() const {
+  return owns_ ? kNever : bound_until_ - settings_.lease + settings_.renew + kLongestHoldUp;
+}
+
 void Group::prune(Time now, Duration keep) {
   for (auto at = durable_.items.begin(); at != durable_.items.end();) {
     if (now < at->second.until + keep) {
--- a/copies/group.h
+++ b/copies/group.h
@@ -110,6 +110,8 @@
   std::size_t live_count() const { return live_; }
   // When the promise to the owner ends; of the owner: when its lease does.
   Time bound_until() const { return bound_until_; }
+  // From when on an owner that is heard no more counts as silent: it has something to say each `renew`.
+  Time owner_silent_from() const;
   std::uint64_t epoch() const { return durable_.promised; }
 
   // For the model check: everything that a later step can depend on, by the clock's distance from now.
