Let a hand-back wait for others no longer than its notice is owed

What a caller would see: work that may not be repeated, handed back as its time is up by a relay whose two others are gone, is told 0.2 s later; with a hold-up of 0.15 s that is past the 300 ms.

Cause: before such a notice is told, one other has to know of it, and the ticket for that waits `answer_within` (200 ms) from when it is asked for, whatever is left of the message's time.

Mend: the ticket of a notice ends by the message's time and kLeftToOwner, as a holder's wait does (copies/ends.h); then it is told as given up, as before where nobody answers.

--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -228,7 +228,12 @@
 // --------------------------------------------------------------------------------------------- tickets
 
 std::uint64_t Copies::await(Time now, std::vector<std::string> ids, Need need) {
-  tickets_.push_back({++last_ticket_, std::move(ids), need, now + settings_.answer_within});
+  Time until = now + settings_.answer_within;
+  for (const std::string& id : ids) {
+    const Item* item = need == Need::tell ? look(id) : nullptr;
+    if (item) until = std::clamp(item->until + kLeftToOwner, now, until);
+  }
+  tickets_.push_back({++last_ticket_, std::move(ids), need, until});
   return last_ticket_;
 }
 
@@ -505,40 +510,6 @@
   return all;
 }
 
-// As things are by now: what has changed twice is written once.
-std::string Copies::take_records(Duration wall) {
-  std::string all;
-  std::set<std::pair<GroupId, std::string>> written;
-  for (const ToRecord& r : std::exchange(records_, {})) {
-    const auto at = groups_.find(r.group);
-    if (r.what == ToRecord::What::drop) {
-      all += record_of_dropped(r.group);
-    } else if (at == groups_.end()) {
-      continue;
-    } else if (r.what == ToRecord::What::group) {
-      all += record_of(r.group, at->second.head, at->second.group.shape().self);
-    } else if (r.what == ToRecord::What::promise) {
-      const Group::Durable& d = at->second.group.durable();
-      all += record_of(r.group, d.promised, d.owner);
-    } else if (written.emplace(r.group, r.item).second) {
-      const Item* item = at->second.group.find(r.item);
-      all += item ? record_of(r.group, r.item, *item, wall) : record_of_forgotten(r.group, r.item);
-    }
-  }
-  return all;
-}
-
-std::string Copies::snapshot(Duration wall, std::uint64_t boot) const {
-  std::string all = record_of_format(self_.seat.life, self_.seat.name);
-  if (boot != 0) all += record_of_clock(boot, wall);
-  for (const auto& [id, held] : groups_) {
-    const Group::Durable& d = held.group.durable();
-    all += record_of(id, held.head, held.group.shape().self) + record_of(id, d.promised, d.owner);
-    for (const auto& [item_id, item] : d.items) all += record_of(id, item_id, item, wall);
-  }
-  return all;
-}
-
 std::optional<GroupId> Copies::group_of(const std::string& id) const {
   const auto found = where_.find(id);
   return found == where_.end() ? std::nullopt : std::optional(found->second);
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -115,7 +115,7 @@
     promise,  // the bodies are with as many as the settings ask for
     act,      // the newest state is known to another one, and this one leads; of a first attempt also what a
               // promise needs
-    tell,     // as act, for a notice
+    tell,     // as act, for a notice, which is owed: it waits no longer than a holder would
   };
   // A Done event follows, not before the caller has returned to take_events().
   std::uint64_t await(Time now, std::vector<std::string> ids, Need need);
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -186,6 +186,26 @@
   }
 }
 
+// Handed back as its time is up, with nobody left who could be told: the wait for them is part of what the
+// notice is owed within.
+TEST(CopiesAlone, AHandBackWaitsNoLongerThanItsNoticeIsOwed) {
+  Alone a;
+  a.others(2);
+  const Time until = a.now + 5s;
+  a.copies->take(a.now, "a", Alone::item(until));
+  for (const copies::Duration before : {500ms, 10ms, 0ms, -50ms}) {
+    a.now = until - before;
+    a.copies->owe(a.now, "a", {true, {}});
+    a.copies->await(a.now, {"a"}, Copies::Need::tell);
+    a.copies->flush(a.now);
+    const Time told = std::max(a.now, std::min(a.now + a.settings.answer_within, until + 50ms));
+    EXPECT_TRUE(a.now == told || a.copies->next_wake() <= told) << before / 1ms;
+    a.now = told;
+    a.copies->wake(a.now);
+    EXPECT_EQ(a.done(), std::vector<bool>{false}) << before / 1ms;
+  }
+}
+
 TEST(CopiesAlone, AFolderKeepsGroupsAndALostOneIsAnotherLife) {
   Alone a;
   a.others(3);
