Count a message's time from when its request's last byte came

Cause: PROTOCOL counts X-Timeout-Ms from when the client sent it. The server took it as left when it read the request, so each hold-up before the accept and before the read made the message's end later. What was read by a process that had given over lost the time on the link as well, for the time left was counted anew there.

Evidence: a probe of TCP_INFO on loopback (Linux, ticks of 4 ms): tcpi_last_data_recv gave 304, 120, 100 and 300 ms for waits of 304, 120, 100 and 300 ms; the same before and after the accept and the read; for a request in two pieces the wait of the last one (148 for 150); 100 for one of 65000 bytes that is read in pieces; 100 behind a connect that was queued for 1 s. A request behind another one resets it to 0: for requests that are sent without waiting for an answer it tells the last one's arrival. The end of the stream does not count as data.

What the kernel says is believed up to two hold-ups of 0.15 s (STANDING; before the accept and before the read), and further for the time for which the relay itself did not read, since it was answering. Where it says nothing the time counts from the reading, as before. A request whose time was over before it was read fails, and nobody is called.

--- a/relay/frames.cpp
+++ b/relay/frames.cpp
@@ -2,6 +2,8 @@
 
 #include <string>
 
+#include "journal_records.h"
+
 namespace myrtlegrade {
 
 namespace catalog = valedrum::catalog;
@@ -175,8 +177,8 @@
 
 Writer write_hand_in(std::uint64_t token, const HandIn& m) {
   Writer out(Frame::hand_in);
-  out.number(token).text(m.id).text(m.cls).number(m.destination).text(m.key).text(m.body).span(m.time_left);
-  return out;
+  out.number(token).text(m.id).text(m.cls).number(m.destination).text(m.key).text(m.body);
+  return write(out, m.deadline);
 }
 
 HandIn read_hand_in(Reader& in) {
@@ -186,7 +188,7 @@
   m.destination = in.number();
   m.key = in.text();
   m.body = in.text();
-  m.time_left = std::chrono::duration_cast<std::chrono::milliseconds>(in.span());
+  m.deadline = read_moment(in);
   return m;
 }
 
--- a/relay/frames.h
+++ b/relay/frames.h
@@ -18,7 +18,7 @@
 
 namespace myrtlegrade {
 
-constexpr std::uint64_t kLinkVersion = 2;
+constexpr std::uint64_t kLinkVersion = 3;
 
 enum class Frame : std::uint8_t {
   hello = 1,  // each side's first: its version
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -6,8 +6,6 @@
 
 Writer& write(Writer& out, const Moment& at) { return out.time(at.wall).number(at.boot).time(at.steady); }
 
-namespace {
-
 // Earlier programs wrote the time of day alone.
 Moment read_moment(Reader& in) {
   Moment at{in.time<WallTime>(), 0, {}};
@@ -17,8 +15,6 @@
   return at;
 }
 
-}  // namespace
-
 std::optional<JournalRecord> parse_record(std::string_view payload) {
   Reader in(payload);
   JournalRecord r;
--- a/relay/journal_records.h
+++ b/relay/journal_records.h
@@ -18,6 +18,7 @@
 
 // Always the last field of its record.
 Writer& write(Writer& out, const Moment& at);
+Moment read_moment(Reader& in);
 
 enum class RecordKind : std::uint8_t {
   accept = 1,
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -156,17 +156,17 @@
       Payload{std::move(message.id), std::move(message.key), std::move(message.body)});
   open.cls = std::move(message.cls);
   open.destination = message.destination;
-  open.deadline = read_clocks() + message.time_left;
+  open.deadline = message.deadline;
   open.respond = std::move(respond);
   ids_.emplace(open.payload->id, id);
   MessageTrace::event(open.payload->id, "submitted", "class", open.cls, "destination", open.destination,
-                      "time_left_ms", whole_ms(message.time_left).count());
+                      "time_left_ms", whole_ms(message.deadline.steady - now()).count());
   const vetchhinge::DestinationId destination{open.destination};
   open_.emplace(id, std::move(open));
   ++held_;
   arrivals_.push_back(id);
   endpoints_.wake(message.destination, events_);
-  happened(vetchhinge::Message{id, *cls, destination, now() + message.time_left, {}, {}, {}});
+  happened(vetchhinge::Message{id, *cls, destination, message.deadline.steady, {}, {}, {}});
 }
 
 // The client did not hear that its message is taken on, so it hands it in again elsewhere.
--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -15,6 +15,7 @@
 #include <string_view>
 #include <utility>
 
+#include "arrival_time.h"
 #include "coroutine.h"
 #include "stream_io.h"
 #include "system_errors.h"
@@ -78,7 +79,7 @@
 }
 
 // The field at fault, for the client; empty if the message can be read.
-std::string read_hand_in(Request& request, HandIn& message) {
+std::string read_hand_in(Request& request, const Moment& last_byte, HandIn& message) {
   const std::string_view path = view(request.target()).substr(1);
   message.cls = path.substr(0, path.find_first_of("/?"));
   message.id = request["X-Request-ID"];
@@ -87,7 +88,7 @@
   if (message.key.size() > kMostName || !printable(message.key)) return "Idempotency-Key";
   const auto time = parse_number<std::int64_t>(view(request["X-Timeout-Ms"]));
   if (!time || *time < 0) return "X-Timeout-Ms";
-  message.time_left = std::chrono::milliseconds(std::min(*time, kMostTimeMs));
+  message.deadline = last_byte + std::chrono::milliseconds(std::min(*time, kMostTimeMs));
   const auto destination = parse_destination(view(request["X-Addressing"]));
   if (!destination) return "X-Addressing";
   message.destination = *destination;
@@ -203,8 +204,14 @@
     return stream.socket().is_open() && stream.socket().available(closed) > 0;
   }
 
+  void has_read(std::size_t count) {
+    buffer.commit(count);
+    arrival.read(stream.socket().native_handle());
+  }
+
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  ArrivalTime arrival;
   State state = State::fresh;
   Clock::time_point since = Clock::now();
 };
@@ -301,7 +308,7 @@
 }
 
 // The response to what is no message that can be handed on; else fills `message`.
-std::optional<Response> Server::at_once(Request& request, HandIn& message) const {
+std::optional<Response> Server::at_once(Request& request, const Moment& last_byte, HandIn& message) const {
   const std::string_view target = view(request.target());
   if (request.method() == http::verb::get && target == "/_health") {
     if (leaving_) return plain(http::status::service_unavailable, "leaving");
@@ -312,7 +319,7 @@
   if (target.size() < 2 || target.front() != '/') {
     return plain(http::status::not_found, "unknown class of message");
   }
-  const std::string field = read_hand_in(request, message);
+  const std::string field = read_hand_in(request, last_byte, message);
   if (!field.empty()) return plain(http::status::bad_request, field + ": missing or malformed");
   return std::nullopt;
 }
@@ -372,11 +379,12 @@
       if (used == 0) break;
     }
     if (parser.is_done()) co_return error;
+    session.arrival.awaits();
     const std::size_t most = std::min(kReadSize, kMostBuffered - session.buffer.size());
     const auto [read_error, count] =
         co_await session.stream.async_read_some(session.buffer.prepare(most), kAwait);
     if (read_error) co_return read_error;
-    session.buffer.commit(count);
+    session.has_read(count);
     session.enter(Session::State::reading);
   }
 }
@@ -387,12 +395,13 @@
   bool open = true;
   while (open) {
     if (session.buffer.size() == 0) {
+      session.arrival.awaits();
       const auto [error, count] =
           co_await session.stream.async_read_some(session.buffer.prepare(kFirstRead), kAwait);
       if (error == asio::error::operation_aborted && session.has_come())
         continue;  // just as the connection was to be closed
       if (error) co_return;
-      session.buffer.commit(count);
+      session.has_read(count);
       if (session.state == Session::State::idle) session.stream.expires_after(kRequestWithin);
     }
     session.enter(Session::State::reading);
@@ -414,7 +423,7 @@
     if (!response) {
       Request request = parser.release();
       HandIn message;
-      response = at_once(request, message);
+      response = at_once(request, session.arrival.last_byte(), message);
       if (!response) {
         const std::string id = message.id;
         const Answer answer = co_await ask(std::move(message));
--- a/relay/server.h
+++ b/relay/server.h
@@ -18,6 +18,7 @@
 #include <unordered_set>
 
 #include "host_list.h"
+#include "moment.h"
 
 namespace myrtlegrade {
 
@@ -27,7 +28,7 @@
   std::uint64_t destination = 0;
   std::string key;  // empty: none
   std::string body;
-  std::chrono::milliseconds time_left{};
+  Moment deadline;  // by the client's count: from the request's last byte
 };
 
 struct Answer {
@@ -81,7 +82,7 @@
   boost::asio::awaitable<boost::beast::error_code> read_request(Session& session, Parser& parser);
   boost::asio::awaitable<void> close_gently(Session& session);
   boost::asio::awaitable<Answer> ask(HandIn message);
-  std::optional<Response> at_once(Request& request, HandIn& message) const;
+  std::optional<Response> at_once(Request& request, const Moment& last_byte, HandIn& message) const;
   void answer_error(Session& session);
   bool shed();
   void close_idle();
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -90,7 +90,9 @@
         std::istringstream lines(request.body());
         for (std::string line; std::getline(lines, line);) {
           const json::value notice = json::parse(line);
-          notices_[std::string(notice.at("message").as_string())] = notice.at("outcome").as_string();
+          const std::string id(notice.at("message").as_string());
+          notices_[id] = notice.at("outcome").as_string();
+          noticed_at_.emplace(id, SteadyClock::now());
         }
       });
       return answer(socket, fail ? 500 : 204);
@@ -305,6 +307,7 @@
   int watches_to_end_ = 0;
   std::vector<std::string> pushed_;
   std::map<std::string, std::string> notices_;
+  std::map<std::string, SteadyClock::time_point> noticed_at_;  // the first time
   std::vector<Delivery> deliveries_;
   std::map<std::string, Behaviour> behaviours_;
   std::map<std::string, json::object> entries_;
