Keep the ends of calls that outlive a hand-over in their owner's file, not in a link

Cause: the end of a call was told by links alone, from process to process.

Mend: the file that each owner of calls has already (`calls-*`) holds the ends too. After it has given over, a process appends a record for each outcome of a message and each end of a call of its own, and a last one once all its connections are closed. Each later process reads what is new at its look (20 ms), from the start of the file on, and to the end before the owner counts as gone. It keeps the file open, so that nothing is lost when it is removed; an owner that has given over no longer removes its file, which the relay does once it has read it. Records have a length and a checksum: a torn one is read at the next look, a failed write is tried again. A call is named by owner and number. The link tells as before; what it has told is not out any more when it is read. Whether a file's lock is free is asked with a shared lock: several processes ask at once and took each other for the owner.

--- a/relay/call_owners.cpp
+++ b/relay/call_owners.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cerrno>
@@ -33,7 +34,14 @@
 CallOwners::CallOwners(boost::asio::any_io_executor executor, std::string folder, Events events)
     : folder_(std::move(folder)), events_(std::move(events)), timer_(executor) {}
 
-CallOwners::~CallOwners() { release(); }
+CallOwners::~CallOwners() {
+  release();
+  if (file_ >= 0) remove_file();
+}
+
+CallOwners::Earlier::~Earlier() {
+  if (file >= 0) ::close(file);
+}
 
 void CallOwners::start() {
   started_ = Clock::now();
@@ -54,8 +62,31 @@
   name_ = name;
 }
 
-void CallOwners::release() {
+void CallOwners::tell(const CallRecord& record) {
   if (file_ < 0) return;
+  ends_.add(record);
+  if (!ends_.flush(file_) && !looking_) look_after(kLookEvery);
+}
+
+void CallOwners::release() {
+  if (file_ < 0 || std::exchange(released_, true)) return;
+  if (given_over_) ends_.add(CallRecord::all_closed());
+  if (!let_go() && !looking_) look_after(kLookEvery);
+}
+
+// False: the file does not take what it has to say.
+bool CallOwners::let_go() {
+  if (file_ < 0) return true;
+  if (!ends_.flush(file_)) return false;
+  if (!given_over_) {
+    remove_file();
+  } else {
+    ::close(std::exchange(file_, -1));
+  }
+  return true;
+}
+
+void CallOwners::remove_file() {
   ::unlink(path(name_).c_str());
   ::close(std::exchange(file_, -1));
 }
@@ -70,21 +101,47 @@
     if (name.starts_with(kPrefix) && name != name_) names.push_back(std::move(name));
   }
   if (error) return false;
-  for (std::string& name : names) earlier_.emplace(std::move(name), std::nullopt);
+  for (const std::string& name : names) add_earlier(name);
   return true;
 }
 
-// As long as that can't be known, it is locked.
-CallOwners::FileState CallOwners::state_of(const std::string& name) const {
-  const int file = ::open(path(name).c_str(), O_RDWR | O_CLOEXEC);
-  if (file < 0) return errno == ENOENT ? FileState::removed : FileState::locked;
-  const bool locked = ::flock(file, LOCK_EX | LOCK_NB) != 0;
-  ::close(file);
-  return locked ? FileState::locked : FileState::unlocked;
+void CallOwners::add_earlier(const std::string& name) {
+  Earlier& earlier = earlier_.try_emplace(name).first->second;
+  if (earlier.file < 0) earlier.file = ::open(path(name).c_str(), O_RDONLY | O_CLOEXEC);
+}
+
+// As long as that can't be known, it is locked. Several processes may look at once: their locks are shared.
+CallOwners::FileState CallOwners::state_of(const std::string& name, Earlier& earlier) const {
+  if (earlier.file < 0) earlier.file = ::open(path(name).c_str(), O_RDONLY | O_CLOEXEC);
+  if (earlier.file < 0) return errno == ENOENT ? FileState::removed : FileState::locked;
+  struct stat found {};
+  if (::fstat(earlier.file, &found) == 0 && found.st_nlink == 0) return FileState::removed;
+  if (::flock(earlier.file, LOCK_SH | LOCK_NB) != 0) return FileState::locked;
+  ::flock(earlier.file, LOCK_UN);
+  return FileState::unlocked;
+}
+
+// The state comes first: what its owner had to say by then is in the file that is read after it.
+bool CallOwners::is_gone(const std::string& name, Earlier& earlier, Told& told) const {
+  const FileState state = state_of(name, earlier);
+  bool closed = state == FileState::removed;
+  if (earlier.file >= 0) {
+    for (CallRecord& record : earlier.ends.read(earlier.file)) {
+      if (record.kind == CallRecord::Kind::closed) {
+        closed = true;
+      } else {
+        told.emplace_back(name, std::move(record));
+      }
+    }
+  }
+  if (closed || state == FileState::locked) return closed;
+  const auto now = Clock::now();
+  if (!earlier.free_since) earlier.free_since = now;
+  return now - *earlier.free_since >= kLongestHoldUp;
 }
 
 void CallOwners::expect(const std::string& name) {
-  earlier_.emplace(name, std::nullopt);
+  add_earlier(name);
   if (started_ != Clock::time_point{} && !looking_) look_after(kLookEvery);
 }
 
@@ -100,23 +157,22 @@
   looking_ = false;
   if (name_.empty()) claim();
   if (!found_) found_ = find_earlier();
-  const auto now = Clock::now();
+  const bool written = released_ ? let_go() : file_ < 0 || ends_.flush(file_);
+  Told told;
   std::vector<std::string> gone;
-  for (auto& [name, free_since] : earlier_) {
-    const FileState state = state_of(name);
-    if (state == FileState::locked) continue;
-    if (!free_since) free_since = now;
-    if (state == FileState::removed || now - *free_since >= kLongestHoldUp) gone.push_back(name);
+  for (auto& [name, earlier] : earlier_) {
+    if (is_gone(name, earlier, told)) gone.push_back(name);
   }
+  for (const auto& [name, record] : told) events_.told(name, record);
   for (const std::string& name : gone) {
     earlier_.erase(name);
-    ::unlink(path(name).c_str());
+    if (!given_over_) ::unlink(path(name).c_str());
     events_.gone(name);
   }
   // Also one without a file, of an earlier program, may have died just now.
-  const bool none_left = found_ && earlier_.empty() && now - started_ >= kLongestHoldUp;
+  const bool none_left = found_ && earlier_.empty() && Clock::now() - started_ >= kLongestHoldUp;
   if (none_left) events_.none_left();
-  if (none_left && !name_.empty()) return;
+  if (none_left && written && !name_.empty()) return;
   look_after(kLookEvery);
 }
 
--- a/relay/call_owners.h
+++ b/relay/call_owners.h
@@ -3,13 +3,19 @@
 // A process that took over, or was started anew, so learns of earlier ones that live, are stopped, or that
 // nobody else can tell of any more.
 //
-//   state of the file   what it proves of that process's connections
-//   ------------------
-//   --------------------------------------------------------------------------------------- locked nothing:
-//   they may be open not locked          the process has ended or is ending: they are closed within
-//   kLongestHoldUp removed             they were closed before: release() comes after that, and whoever else
-//   removes a file has
-//                       waited until its owner was gone
+//   state of the file       what it proves of that process's connections
+//   -----------------       --------------------------------------------
+//   locked                  nothing: they may be open
+//   not locked              the process has ended or is ending: they are closed within kLongestHoldUp
+//   not locked, and says    they were closed before that was written
+//   that all is closed
+//   removed                 they were closed before: by its owner's release(), or whoever removed it has
+//                           waited until its owner was gone
+//
+// After its hand-over a process also writes into its file what becomes of the calls that it still has out
+// (see CallEnds). That is read here at each look, and always to the end before its owner counts as gone. So a
+// process that has given over leaves its file in place, and only the relay, which has read it, removes it.
+// Whoever looks keeps the file open: it can be read to the end when it is removed meanwhile.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -19,6 +25,10 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
+
+#include "call_ends.h"
 
 namespace myrtlegrade {
 
@@ -29,6 +39,8 @@
   static constexpr auto kLongestHoldUp = std::chrono::milliseconds(150);
 
   struct Events {
+    // What an earlier process says of its calls: from the start of its file on, also what a link has told.
+    std::function<void(const std::string& name, const CallRecord& record)> told;
     std::function<void(const std::string& name)>
         gone;                         // once for each earlier process: its connections are closed
     std::function<void()> none_left;  // once: all that were there at the start are gone
@@ -46,6 +58,12 @@
   // Of this process; empty as long as the folder does not take its file.
   const std::string& name() const { return name_; }
 
+  // This process has given over: from here on its successors read what is told here, and files of earlier
+  // processes are theirs to remove.
+  void give_over() { given_over_ = true; }
+  // Of a call that this process has out. Where its file does not take it now, it is tried again.
+  void tell(const CallRecord& record);
+
   // No connection of this process carries a call any more, and none will.
   void release();
 
@@ -58,8 +76,24 @@
 
   void claim();
   bool find_earlier();
+  struct Earlier {
+    Earlier() = default;
+    ~Earlier();
+    Earlier(const Earlier&) = delete;
+    Earlier& operator=(const Earlier&) = delete;
+
+    int file = -1;
+    std::optional<Clock::time_point> free_since;  // its lock
+    CallEndsReader ends;
+  };
+  using Told = std::vector<std::pair<std::string, CallRecord>>;
+
+  void add_earlier(const std::string& name);
   enum class FileState { locked, unlocked, removed };
-  FileState state_of(const std::string& name) const;
+  FileState state_of(const std::string& name, Earlier& earlier) const;
+  bool is_gone(const std::string& name, Earlier& earlier, Told& told) const;
+  bool let_go();
+  void remove_file();
   void look();
   void look_after(Clock::duration pause);
   std::string path(const std::string& name) const { return folder_ + "/" + name; }
@@ -69,10 +103,13 @@
   boost::asio::steady_timer timer_;
   std::string name_;
   int file_ = -1;
+  CallEndsWriter ends_;
+  bool given_over_ = false;
+  bool released_ = false;
   bool looking_ = false;  // the timer runs
   bool found_ = false;    // the folder has been read
   Clock::time_point started_{};
-  std::map<std::string, std::optional<Clock::time_point>> earlier_;  // since when their locks are free
+  std::map<std::string, Earlier> earlier_;
 };
 
 }  // namespace myrtlegrade
--- a/relay/frames.cpp
+++ b/relay/frames.cpp
@@ -135,7 +135,11 @@
 
 Writer write_outcome(const std::string& message, std::uint32_t attempt, const CallResult& r) {
   Writer out(Frame::outcome);
-  out.text(message).number(attempt).number(static_cast<std::uint64_t>(r.result)).flag(r.over);
+  return write_result(out.text(message).number(attempt), r);
+}
+
+Writer& write_result(Writer& out, const CallResult& r) {
+  out.number(static_cast<std::uint64_t>(r.result)).flag(r.over);
   out.span(r.wait).span(r.elapsed).flag(r.report.has_value());
   const auto report = r.report.value_or(vetchhinge::LimitReport{});
   out.real(report.share_left).real(report.calls_per_second);
--- a/relay/frames.h
+++ b/relay/frames.h
@@ -70,6 +70,7 @@
 std::optional<Inheritance> read_inheritance(Reader& in, vetchhinge::drill::Names& hosts);
 
 Writer write_outcome(const std::string& message, std::uint32_t attempt, const CallResult& result);
+Writer& write_result(Writer& out, const CallResult& result);
 CallResult read_result(Reader& in);
 
 Writer write_call_over(std::uint64_t call, CallEnd end);
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -50,7 +50,9 @@
       journal_(config_.state_folder, config_.disk_bytes, config_.durability),
       sender_(config_.settings),
       owners_(executor, config_.state_folder,
-              {.gone = [this](const std::string& owner) { owner_gone(owner); },
+              {.told = [this](const std::string& owner,
+                              const CallRecord& record) { read_of_call(owner, record); },
+               .gone = [this](const std::string& owner) { owner_gone(owner); },
                .none_left = [this] { no_owner_left(); }}),
       host_client_(
           executor,
@@ -186,13 +188,18 @@
 
 void Relay::reported(HostId host, const CallItem& item, const CallResult& result) {
   Open& open = open_.at(item.message);
-  if (Out* const out = find_out(open, item.attempt)) out->reported = true;
+  Out* const out = find_out(open, item.attempt);
+  if (out) out->reported = true;
   counters_.outcome(result.result);
   MessageTrace::event(open.payload->id, "outcome", "attempt", item.attempt, "result", name_of(result.result),
                       "over", result.over, "elapsed_ms", whole_ms(result.elapsed).count(), "wait_ms",
                       whole_ms(result.wait).count());
   if (result.result == Result::delivered && !open.over) ++counters_.delivered;
-  if (successor_) return successor_->outcome(open.payload->id, item.attempt, result);
+  if (successor_) {
+    if (out && !out->elsewhere)
+      owners_.tell(CallRecord::of_outcome(out->call, open.payload->id, item.attempt, result));
+    return successor_->outcome(open.payload->id, item.attempt, result);
+  }
   Outcome outcome;
   outcome.id = item.message;
   outcome.attempt = item.attempt;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -148,12 +148,15 @@
   Out* find_out(Open& open, std::uint32_t attempt);
   void call_over(std::uint64_t call, CallEnd end);
   void never_called(std::uint64_t call, vetchhinge::HostId host, const std::vector<CallItem>& items);
+  bool is_out_at(const std::string& owner, std::uint64_t call) const;
+  void read_of_call(const std::string& owner, const CallRecord& record);
   void owner_gone(const std::string& owner);
   void no_owner_left();
   bool cut_calls();
   void log_hand_over(const std::vector<OutCall>& calls);
   void log_inherited(const std::vector<OutCall>& calls);
   void log_repeat(const Open& open, const Out& out);
+  void log_read_end(const std::string& owner, const CallRecord& record);
   void log_call_over(std::uint64_t number, const CallOut& call, CallEnd end);
 
   std::string take_out(const std::string& host);
--- a/relay/relay_calls.cpp
+++ b/relay/relay_calls.cpp
@@ -37,7 +37,9 @@
     for (std::size_t n = 0; n < ended; ++n) endpoints_.call_over(call.mapped().host);
     if (open.over) close_message(id);
   }
-  if (successor_) successor_->call_over(number, end);
+  if (!successor_) return;
+  if (!call.mapped().elsewhere) owners_.tell(CallRecord::of_over(number, end));
+  successor_->call_over(number, end);
 }
 
 void Relay::never_called(std::uint64_t number, HostId host, const std::vector<CallItem>& items) {
@@ -90,6 +92,13 @@
   events_log_.write("repeat", text.str());
 }
 
+void Relay::log_read_end(const std::string& owner, const CallRecord& record) {
+  if (!events_log_.admits()) return;
+  std::ostringstream text;
+  text << "number=" << record.call << " owner=" << owner << " end=" << name_of(record.end);
+  events_log_.write("end_read", text.str());
+}
+
 // Answered ones are the rule, and say nothing.
 void Relay::log_call_over(std::uint64_t number, const CallOut& call, CallEnd end) {
   if (end == CallEnd::answered && !call.elsewhere) return;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -51,6 +51,7 @@
   all.descriptors = descriptors();
   all.last_call = last_call_;
   successor_ = std::move(successor);
+  owners_.give_over();
   drained_ = std::move(done);
   draining_since_ = SteadyClock::now();
   drain_further();
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -196,6 +196,24 @@
   call_over(number, end);
 }
 
+bool Relay::is_out_at(const std::string& owner, std::uint64_t number) const {
+  const auto call = calls_.find(number);
+  if (call != calls_.end() && call->second.elsewhere && call->second.owner == owner) return true;
+  return std::ranges::any_of(waiting_, [&](const auto& entry) {
+    const auto& out = entry.second.out;
+    return out && out->owner == owner && out->call == number;
+  });
+}
+
+// Numbers are each owner's own, and what a link has told before is not out any more.
+void Relay::read_of_call(const std::string& owner, const CallRecord& record) {
+  if (!is_out_at(owner, record.call)) return;
+  if (record.kind == CallRecord::Kind::outcome)
+    return reported_elsewhere(record.message, record.attempt, record.result);
+  log_read_end(owner, record);
+  call_over_elsewhere(record.call, record.end);
+}
+
 // Its connections are closed. Nothing tells what became of the calls that are left.
 void Relay::owner_gone(const std::string& owner) {
   std::vector<std::uint64_t> left;
--- /dev/null
+++ b/tests/call_ends_test.cpp
@@ -0,0 +1,203 @@
+// Three processes of one relay, A, B and C: A's call is handed over twice. Whatever becomes of the links
+// between them, C knows how the call ended, and in time.
+#include "call_ends.h"
+
+#include <unistd.h>
+
+#include <atomic>
+#include <cstdio>
+#include <memory>
+
+#include "handover_fixture.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+constexpr auto kToldWithin = 150ms;  // an end that is known: 100 ms, on sockets 50 ms longer (PROTOCOL)
+
+class CallEndsTest : public HandoverTest {
+ protected:
+  enum class Answer { none, delivered };
+
+  // `p1` holds the call that a test ends, `b1` one that keeps A for as long as a process may have calls out.
+  void hand_over_twice(const std::string& cls) {
+    add_host("p1", 3, "plain",
+             [this](tcp::socket& socket, Request& request) { return hold_one(socket, request); });
+    add_silent_host("b1", 2, "bulk");
+    next_environment_ = {{"LD_PRELOAD", SHIM}, {"SOAK_BROKEN_LINK", broken_in_second_}};
+    start_old(6000, 6000);
+    ASSERT_EQ(hand_in("m", cls, 3), 202U);
+    ASSERT_EQ(hand_in("stays", "note", 2), 202U);
+    ASSERT_TRUE(wait_seen("m"));
+    ASSERT_TRUE(wait_seen("stays"));
+    upgrade(process_, new_);
+    next_environment_["SOAK_BROKEN_LINK"] = broken_in_third_;
+    upgrade(new_, third_);
+  }
+
+  // The first call waits for the test, later ones are answered at once.
+  bool hold_one(tcp::socket& socket, Request& request) {
+    if (!first_.exchange(false)) {
+      if (is_open(held_)) watched_.change([this] { second_copies_.emplace_back("m"); });
+      return kAccept(socket, request);
+    }
+    held_ = socket.native_handle();
+    watched_.wait([this] { return over_ || answer_.has_value(); });
+    if (watched_.read([this] { return answer_ == Answer::delivered; })) kAccept(socket, request);
+    boost::system::error_code ignored;
+    socket.shutdown(tcp::socket::shutdown_both, ignored);
+    held_ = -1;
+    watched_.change([this] { ended_ = SteadyClock::now(); });
+    return false;
+  }
+
+  void end_call(Answer answer) {
+    watched_.change([&] { answer_ = answer; });
+    ASSERT_TRUE(watched_.wait([this] { return ended_ != SteadyClock::time_point{}; }));
+  }
+
+  // The old process says something at least each 50 ms: the read of it breaks the link, and the old one
+  // notices.
+  void break_link(const fs::path& file, const std::optional<Process>& old) {
+    std::ofstream(file) << "now";
+    ASSERT_TRUE(wait_log(old, "the new process is gone"));
+  }
+
+  void expect_given_up_in_time(SteadyClock::duration within = kToldWithin) {
+    ASSERT_TRUE(wait_notice("m", "given_up"));
+    EXPECT_LT(SteadyClock::now() - ended_, within);
+    EXPECT_EQ(count_seen("m"), 1U) << "it may have run, and may not be repeated";
+  }
+
+  void expect_repeated_in_time(SteadyClock::duration within = kToldWithin) {
+    ASSERT_TRUE(wait_seen("m", 2));
+    EXPECT_LT(SteadyClock::now() - ended_, within);
+    EXPECT_EQ(second_copies(), std::vector<std::string>{});
+  }
+
+  void expect_known_as_delivered() {
+    EXPECT_EQ(process_->wait(), 0);
+    std::this_thread::sleep_for(2 * kLongestHoldUp);
+    EXPECT_FALSE(watched_.read([this] { return notices_.contains("m"); }));
+    EXPECT_EQ(count_seen("m"), 1U);
+  }
+
+  const fs::path broken_in_second_ = folder_ / "broken-in-second";
+  const fs::path broken_in_third_ = folder_ / "broken-in-third";
+  std::optional<Answer> answer_;
+  std::atomic<bool> first_ = true;
+  std::atomic<int> held_ = -1;
+  SteadyClock::time_point ended_{};
+};
+
+// Guards against a notice that waits for A's process (soak 1318: 0.75 to 1.1 s after the call's end).
+TEST_F(CallEndsTest, AnEndIsKnownThoughTheLinkToTheLastProcessBrokeBefore) {
+  hand_over_twice("refund");
+  break_link(broken_in_third_, new_);
+  end_call(Answer::none);
+  expect_given_up_in_time();
+}
+
+// Guards against a repeat that waits for A's process.
+TEST_F(CallEndsTest, AMessageIsRepeatedThoughTheLinkToTheLastProcessBrokeBefore) {
+  hand_over_twice("note");
+  break_link(broken_in_third_, new_);
+  std::this_thread::sleep_for(2 * kLongestHoldUp);
+  EXPECT_EQ(count_seen("m"), 1U) << "its call is still out";
+  end_call(Answer::none);
+  expect_repeated_in_time();
+}
+
+// Guards against losing an end that was sent and not read: the link breaks with it.
+TEST_F(CallEndsTest, AnEndIsKnownThoughTheLinkToTheLastProcessBreaksWithIt) {
+  hand_over_twice("refund");
+  third_->signal(SIGSTOP);
+  end_call(Answer::none);
+  std::ofstream(broken_in_third_) << "now";
+  std::this_thread::sleep_for(kLongestHoldUp / 2);
+  third_->signal(SIGCONT);
+  expect_given_up_in_time(kToldWithin + kLongestHoldUp);
+}
+
+// Guards against hearing an end twice: by the link, and then by what is left once that is broken.
+TEST_F(CallEndsTest, AnEndThatTheLinkToldIsNotTakenForAnother) {
+  hand_over_twice("note");
+  end_call(Answer::none);
+  expect_repeated_in_time();
+  break_link(broken_in_third_, new_);
+  std::this_thread::sleep_for(2 * kLongestHoldUp);
+  EXPECT_EQ(count_seen("m"), 2U);
+}
+
+// Guards against the same where the link between the first two breaks: the second one hears nothing.
+TEST_F(CallEndsTest, AnEndIsKnownThoughTheLinkToTheFirstProcessBreaks) {
+  hand_over_twice("refund");
+  break_link(broken_in_second_, process_);
+  end_call(Answer::none);
+  expect_given_up_in_time();
+}
+
+// Guards against giving up what was delivered, since nobody told of its answer.
+TEST_F(CallEndsTest, AnAnswerIsKnownThoughTheLinkToTheLastProcessBrokeBefore) {
+  hand_over_twice("refund");
+  break_link(broken_in_third_, new_);
+  end_call(Answer::delivered);
+  expect_known_as_delivered();
+}
+
+// Guards against losing what was said by a process that has gone, in order, before its successor looked.
+TEST_F(CallEndsTest, AnAnswerIsKnownThoughItsProcessEndedBeforeTheLastOneLooked) {
+  hand_over_twice("refund");
+  break_link(broken_in_third_, new_);
+  third_->signal(SIGSTOP);
+  end_call(Answer::delivered);
+  watched_.change([this] { released_ = true; });  // nothing keeps A any more
+  EXPECT_EQ(process_->wait(), 0);
+  third_->signal(SIGCONT);
+  expect_known_as_delivered();
+}
+
+// Guards against counting a killed process as gone before what it said is read.
+TEST_F(CallEndsTest, AnAnswerIsKnownThoughItsProcessWasKilledBehindIt) {
+  hand_over_twice("refund");
+  break_link(broken_in_third_, new_);
+  third_->signal(SIGSTOP);
+  end_call(Answer::delivered);
+  ASSERT_TRUE(wait_log(new_, "end=answered"));
+  process_->signal(SIGKILL);
+  EXPECT_EQ(process_->wait(), 128 + SIGKILL);
+  third_->signal(SIGCONT);
+  std::this_thread::sleep_for(3 * kLongestHoldUp);
+  EXPECT_FALSE(watched_.read([this] { return notices_.contains("m"); }));
+  EXPECT_EQ(count_seen("m"), 1U);
+}
+
+// Guards against a record that is lost, or read before it is whole, where a write fails or stops in the
+// middle.
+TEST(CallEndsFileTest, WhatIsTornIsReadOnceItIsWhole) {
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> owner(std::tmpfile(), std::fclose);
+  const int file = ::fileno(owner.get());
+  CallEndsWriter writer;
+  CallEndsReader reader;
+  writer.add(CallRecord::of_outcome(7, "m", 2, {vetchhinge::Result::error, false, 30ms, 5ms, {}, {}}));
+  EXPECT_FALSE(writer.flush(-1));
+  EXPECT_TRUE(writer.flush(file));
+  writer.add(CallRecord::of_over(7, CallEnd::answered));
+  EXPECT_TRUE(writer.flush(file));
+  std::string whole(4096, ' ');
+  whole.resize(static_cast<std::size_t>(::pread(file, whole.data(), whole.size(), 0)));
+  std::vector<CallRecord> records;
+  for (std::size_t size = 0; size <= whole.size(); ++size) {
+    ASSERT_EQ(::ftruncate(file, 0), 0);
+    ASSERT_EQ(::pwrite(file, whole.data(), size, 0), static_cast<ssize_t>(size));
+    for (const CallRecord& record : reader.read(file)) records.push_back(record);
+    EXPECT_EQ(records.size() == 2, size == whole.size());
+  }
+  EXPECT_EQ(records[0].message + '#' + std::to_string(records[0].attempt), "m#2");
+  EXPECT_EQ(records[0].result.wait, 30ms);
+  EXPECT_EQ(records[1].call, 7U);
+  EXPECT_EQ(records[1].end, CallEnd::answered);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
--- /dev/null
+++ b/tests/handover_fixture.h
@@ -0,0 +1,122 @@
+// Real processes of one relay that hand over to each other, with calls out that their endpoints hold.
+#pragma once
+
+#include <sys/socket.h>
+
+#include "upgrade_fixture.h"
+
+namespace myrtlegrade::test {
+
+// A page allows a relay to be held up for so long at any point.
+inline constexpr auto kLongestHoldUp = 150ms;
+
+class HandoverTest : public UpgradeTest {
+ protected:
+  // An endpoint that answers nothing until `released_`, and sees whether a message comes again while an
+  // earlier call with it is open.
+  void add_silent_host(const std::string& id, int cell, const std::string& kind) {
+    add_host(id, cell, kind, [this](tcp::socket& socket, Request& request) { return hold(socket, request); });
+  }
+
+  bool hold(tcp::socket& socket, Request& request) {
+    const int file = socket.native_handle();
+    const std::vector<std::string> ids = messages_of(request);
+    watched_.change([&] {
+      for (const std::string& id : ids) arrived(id, file);
+    });
+    while (!watched_.read([this] { return over_ || released_; }) && is_open(file)) {
+      std::this_thread::sleep_for(2ms);
+    }
+    watched_.change([&] {
+      for (const std::string& id : ids) std::erase(open_calls_[id], file);
+    });
+    return is_open(file) && kAccept(socket, request);
+  }
+
+  void arrived(const std::string& id, int file) {
+    std::vector<int>& files = open_calls_[id];
+    if (std::ranges::any_of(files, is_open)) second_copies_.push_back(id);
+    files.push_back(file);
+  }
+
+  static bool is_open(int file) {
+    char byte = 0;
+    const ssize_t size = ::recv(file, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size > 0 || (size < 0 && errno == EAGAIN);
+  }
+
+  static std::vector<std::string> messages_of(const Request& request) {
+    if (request.target() == "/inbox") return {std::string(request["X-Request-ID"])};
+    std::vector<std::string> ids;
+    const json::value entries = json::parse(request.body());
+    for (const json::value& entry : entries.as_array()) ids.emplace_back(entry.at("id").as_string());
+    return ids;
+  }
+
+  // Time-outs follow the aims: that of `note` once, that of `refund` twice.
+  static json::object with_aims(json::object config, double note_ms, double refund_ms) {
+    json::array& classes = config["settings"].as_object()["classes"].as_array();
+    for (json::value& cls : classes) {
+      cls.as_object()["aim"] = cls.at("name").as_string() == "refund" ? refund_ms : note_ms;
+    }
+    return config;
+  }
+
+  void start_old(double note_ms, double refund_ms) {
+    note_ms_ = note_ms;
+    refund_ms_ = refund_ms;
+    start(with_aims(with_second_address(), note_ms, refund_ms));
+  }
+
+  // The shim delays each close of a connection of that process.
+  void hold_up_closes_of_old() {
+    environment_["LD_PRELOAD"] = SHIM;
+    environment_["SOAK_CLOSE_MS"] = std::to_string(kLongestHoldUp.count());
+  }
+
+  void start_next(std::optional<Process>& process) {
+    const fs::path file = folder_ / "next.json";
+    json::object changed = with_aims(with_second_address(), note_ms_, refund_ms_);
+    changed["listen"] = address_;
+    std::ofstream(file) << json::serialize(changed);
+    std::map<std::string, std::string> environment = next_environment_;
+    environment.emplace("PROXY_CONFIG", file);
+    environment.emplace("PROXY_STATE", folder_ / "state");
+    process.emplace(PROGRAM, environment);
+  }
+
+  // A process that stands by takes over from one that is told to end.
+  void upgrade(std::optional<Process>& from, std::optional<Process>& to) {
+    start_next(to);
+    ASSERT_TRUE(wait_healthy(to));
+    from->signal(SIGTERM);
+    ASSERT_TRUE(wait_log(to, "took over"));
+  }
+
+  static bool wait_log(const std::optional<Process>& process, const std::string& text) {
+    const auto until = SteadyClock::now() + 10s;
+    while (process->log_with_start().find(text) == std::string::npos) {
+      if (SteadyClock::now() > until) return false;
+      std::this_thread::sleep_for(2ms);
+    }
+    return true;
+  }
+
+  std::vector<std::string> second_copies() {
+    return watched_.read([this] { return second_copies_; });
+  }
+
+  // After all earlier calls have ended the message is still owed, and comes once more.
+  void expect_repeated_later(const std::string& id) {
+    EXPECT_TRUE(wait_seen(id, 2)) << "the message is still owed";
+    EXPECT_EQ(second_copies(), std::vector<std::string>{});
+  }
+
+  double note_ms_ = 0, refund_ms_ = 0;
+  std::map<std::string, std::string> next_environment_;  // of processes that stand by
+  std::map<std::string, std::vector<int>> open_calls_;   // sockets, by message
+  std::vector<std::string> second_copies_;
+  std::optional<Process> third_;
+};
+
+}  // namespace myrtlegrade::test
