Remember a message beyond its end, so that the same request does not run it twice

The client's kept connection broke, it sent the same request once more on a new one, and the relay, which had delivered the message 0.2 ms before, took it for a new message and called again.

Cause: the memory of an id ended with its message (`close_message`), and the answer that the client missed is the one thing that it asks for.

The mend: `EndedMessages`. Each end is remembered with what its client was told: delivered, taken (202); given up, failed; handed back, refused with the Retry-After of the notice; withdrawn after a call that may have run, failed unless its class may be repeated; withdrawn otherwise, nothing, so that it is a new message; while a call of such a one still connects (nothing leaves on it) it is refused, where it was failed before. Another request under the id gets 409 as before.

Bounds: 100 bytes an id, 4,096 ids (411,296 bytes, measured), the oldest go; never a refusal because of it. An id and a content stand as 64-bit fingerprints; where two ids collide, the contents differ and the request is refused as one with another's id: it takes both, 128 bits, to pass for another message.

A compaction takes the newest along, 65 bytes each, without the id, in a 32nd of the room at most, and leaves them out where they don't fit.

Evidence: a real process and real connections, no chance in it.

A copies' holder that loses a message which was promised remembers it as taken (`give_up`): reasoned, no test forces it.

--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t kGrowth = 1024;              // what the attempts and the end of one message may add
 constexpr std::uint64_t kLeastCompact = 64 << 10;  // smaller files are not worth compacting
 constexpr std::uint64_t kBlock = 512;              // the disk limit counts whole blocks
+constexpr std::uint64_t kEndedShare = 32;          // one part in so many of the room is for ends
 
 constexpr auto kRetryEvery = std::chrono::milliseconds(50);  // of a folder that fails (ours)
 constexpr auto kStartWithin =
@@ -101,7 +102,8 @@
   }
   if (r->kind == Kind::never_ran) never_ran(r->id, static_cast<std::uint32_t>(r->number));
   if (r->kind == Kind::end) end(r->id);
-  if (r->kind == Kind::end_owing) end_owing(r->notice);
+  if (r->kind == Kind::end_owing) end_owing(r->notice, r->ended);
+  if (r->ended) ended_.remember(r->ended_id, *r->ended, read_clocks());
   if (r->kind == Kind::notice_settled) notice_settled(r->id);
   if (r->kind == Kind::ban) ban(r->id);
   if (r->kind == Kind::lift) lift(r->id);
@@ -168,11 +170,22 @@
   index_.erase(found);
 }
 
-void Journal::end(const std::string& id) {
+void Journal::remember(const std::string& id, const Ended& ended) {
+  ended_.remember(fingerprint(id), ended, read_clocks());
+}
+
+void Journal::end(const std::string& id) { end(id, Writer(Kind::end).text(id).record()); }
+
+void Journal::end(const std::string& id, const Ended& ended) {
+  remember(id, ended);
+  end(id, end_record(id, ended));
+}
+
+void Journal::end(const std::string& id, std::string record) {
   const auto found = index_.find(id);
   if (found == index_.end()) return;
   if (live_.at(found->second).written) {
-    append(id, Writer(Kind::end).text(id).record());
+    append(id, std::move(record));
   } else {  // nothing of it may reach the file ahead of its end
     std::erase_if(pending_, [&](const Pending& p) { return p.message == id; });
   }
@@ -184,12 +197,14 @@
   return torn_ || (found != index_.end() && live_.at(found->second).written);
 }
 
-void Journal::end_owing(const Notice& n) {
-  const std::string record = Writer(Kind::end_owing)
-                                 .text(n.message)
-                                 .number(n.handed_back ? 1 : 0)
-                                 .number(static_cast<std::uint64_t>(n.retry_in.count()))
-                                 .record();
+void Journal::end_owing(const Notice& n, const std::optional<Ended>& ended) {
+  Writer out(Kind::end_owing);
+  out.text(n.message).number(n.handed_back ? 1 : 0).number(static_cast<std::uint64_t>(n.retry_in.count()));
+  if (ended) {
+    write(out, *ended);
+    remember(n.message, *ended);
+  }
+  const std::string record = out.record();
   forget(n.message);
   append(n.message, record);
   add_live(n.message, {record, record.size()});
@@ -214,6 +229,20 @@
   append({}, Writer(Kind::lift).text(host).record());
 }
 
+// How many of them a new file takes along.
+std::uint64_t Journal::most_ended() const { return most_ / kEndedShare / kEndRecord; }
+
+std::uint64_t Journal::kept_bytes() const {
+  return live_bytes_ + std::min<std::uint64_t>(ended_.size(), most_ended()) * kEndRecord;
+}
+
+std::string Journal::ended_records() const {
+  std::string text;
+  ended_.for_newest(most_ended(), read_clocks(),
+                    [&](std::uint64_t id, const Ended& ended) { text += end_record(id, ended); });
+  return text;
+}
+
 std::string Journal::live_records() const {
   std::string text = Writer(Kind::format).number(kJournalFormat).record();
   for (const std::string& host : banned_) text += Writer(Kind::ban).text(host).record();
@@ -239,8 +268,9 @@
 bool Journal::write_pending() {
   std::uint64_t after = size_;
   for (const Pending& p : pending_) after += p.record.size();
-  if (failing() || after > std::max(kLeastCompact, 4 * live_bytes_) ||
-      whole_blocks(after) + whole_blocks(live_bytes_) > most_ * 9 / 10) {
+  const std::uint64_t kept = kept_bytes();
+  if (failing() || after > std::max(kLeastCompact, 4 * kept) ||
+      whole_blocks(after) + whole_blocks(kept) > most_ * 9 / 10) {
     compact();
     if (pending_.empty()) return !must_rewrite_;
   }
@@ -272,8 +302,12 @@
 
 // What matters, pending records included, goes to a new file. If that can't be written the old one stays.
 void Journal::compact() {
-  const std::string text = live_records();
-  if (whole_blocks(size_) + whole_blocks(text.size()) > most_) return;
+  const auto fits = [this](const std::string& text) {
+    return whole_blocks(size_) + whole_blocks(text.size()) <= most_;
+  };
+  std::string text = live_records();
+  if (std::string all = text + ended_records(); fits(all)) text = std::move(all);
+  if (!fits(text)) return;
   const recovery::Replaced replaced = recovery::replace(*disk_, kName, text, durability_);
   if (replaced == recovery::Replaced::no) return;
   size_ = text.size();
--- a/relay/journal.h
+++ b/relay/journal.h
@@ -3,6 +3,7 @@
 // Records are appended, each with a length and a checksum; a torn tail (the process was killed while it
 // wrote) is cut off at the next start. Records gather in memory until flush() writes them in one piece. When
 // little of the file still matters, what does is written to a new file that then takes the old one's name.
+// Ends that are remembered go with it as far as they fit: they never cost what is owed its room.
 // With durability `power` what was flushed outlasts the machine's power once it is synced too.
 #pragma once
 
@@ -11,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,6 +20,7 @@
 #include <utility>
 #include <vector>
 
+#include "ended_messages.h"
 #include "moment.h"
 #include "recovery/disk.h"
 
@@ -72,9 +75,17 @@
   // The outcome of an attempt proves it. Nothing is written for one that was not recorded.
   void never_ran(const std::string& id, std::uint32_t number);
   void end(const std::string& id);  // nothing more is owed
-  void end_owing(const Notice& notice);
+  void end(const std::string& id, const Ended& ended);
+  void end_owing(const Notice& notice, const std::optional<Ended>& ended = std::nullopt);
   void notice_settled(const std::string& id);
 
+  // What is remembered of one that has ended; null: nothing.
+  const Ended* ended(const std::string& id) const { return ended_.find(fingerprint(id), read_clocks()); }
+  // It is told otherwise than was written down, which only a restart goes by.
+  void remember(const std::string& id, const Ended& ended);
+  // Owed, or its notice is not settled.
+  bool holds(const std::string& id) const { return index_.contains(id); }
+
   // Hosts that are taken out by hand, until they are put back.
   void ban(const std::string& host);
   void lift(const std::string& host);
@@ -120,6 +131,10 @@
   void read(const std::string& text);
   bool apply(std::string_view payload, Owed& owed);
   std::string live_records() const;
+  std::string ended_records() const;
+  std::uint64_t most_ended() const;
+  std::uint64_t kept_bytes() const;
+  void end(const std::string& id, std::string record);
   void forget(const std::string& id);
   void compact();
   static constexpr const char* kName = "journal";
@@ -144,6 +159,7 @@
   std::vector<StoredMessage> messages_;
   std::vector<Notice> notices_;
   std::set<std::string> banned_;
+  EndedMessages ended_;
 };
 
 }  // namespace myrtlegrade
--- a/relay/journal_records.cpp
+++ b/relay/journal_records.cpp
@@ -15,6 +15,26 @@
   return at;
 }
 
+namespace {
+
+void read_memory(Reader& in, JournalRecord& r) {
+  if (in.empty()) return;  // of an earlier program, or of one that is not remembered
+  r.ended_id = r.id.empty() ? in.number() : fingerprint(r.id);
+  r.ended = read_ended(in);
+}
+
+}  // namespace
+
+std::string end_record(const std::string& id, const Ended& ended) {
+  Writer out(RecordKind::end);
+  return write(out.text(id), ended).record();
+}
+
+std::string end_record(std::uint64_t id, const Ended& ended) {
+  Writer out(RecordKind::end);
+  return write(out.text({}).number(id), ended).record();
+}
+
 std::optional<JournalRecord> parse_record(std::string_view payload) {
   Reader in(payload);
   JournalRecord r;
@@ -41,8 +61,11 @@
       break;
     case RecordKind::end_owing:
       r.notice = {r.id, in.number() != 0, std::chrono::milliseconds(in.number())};
+      read_memory(in, r);
       break;
     case RecordKind::end:
+      read_memory(in, r);
+      break;
     case RecordKind::notice_settled:
     case RecordKind::ban:
     case RecordKind::lift:
--- a/relay/journal_records.h
+++ b/relay/journal_records.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bytes.h"
+#include "ended_messages.h"
 #include "journal.h"
 
 namespace myrtlegrade {
@@ -45,6 +46,9 @@
   StoredAttempt attempt;     // attempt, numbered_attempt
   std::uint64_t number = 0;  // never_ran, numbered_attempt: of the attempt; format
   Notice notice;             // end_owing
+  // end, end_owing: written behind the fields that earlier programs know, which read over it.
+  std::optional<Ended> ended;
+  std::uint64_t ended_id = 0;  // fingerprint of the message's id
 };
 
 // As a start takes them up: what is owed, and the notices that are not settled, each in the order taken. A
@@ -90,6 +94,11 @@
   Ordered<Notice> notices_;
 };
 
+// An end that is remembered. Without an id only its fingerprint is known by now.
+std::string end_record(const std::string& id, const Ended& ended);
+std::string end_record(std::uint64_t id, const Ended& ended);
+inline constexpr std::size_t kEndRecord = kRecordHeader + 1 + 7 * sizeof(std::uint64_t);  // without an id
+
 // What a record's payload says; none where it can't be read.
 std::optional<JournalRecord> parse_record(std::string_view payload);
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -31,8 +31,7 @@
 constexpr double kHostShare = 0.43;
 constexpr double kIdleHostShare = 0.27;
 constexpr std::size_t kSetAside = 20 + AdminServer::kMostCallers;
-constexpr std::size_t kLeastShared = 64;     // whatever another process holds
-constexpr std::uint32_t kMostListeners = 4;  // to one message
+constexpr std::size_t kLeastShared = 64;  // whatever another process holds
 
 constexpr auto kLogEvery = 5s;  // one line at most
 
@@ -124,23 +123,9 @@
   if (!cls) return respond({Answer::Kind::unknown_class});
   const bool keyed = config_.settings.classes[*cls].effect == Effect::deduplicated;
   if (keyed && message.key.empty()) return respond({Answer::Kind::key_missing});
-  if (const auto known = ids_.find(message.id); known != ids_.end()) {
-    // The client's connection broke, and it sends the same request once more: one message, two to tell. What
-    // only bears the same id must not pass for it, nor end it by going away; no client asks more than a few
-    // times.
-    Open& open = open_.at(known->second);
-    if (!open.is(message) || open.listeners >= kMostListeners) return respond({Answer::Kind::other_content});
-    if (open.over || open.ending)
-      return respond({Answer::Kind::failed});  // withdrawn or ended: nothing more comes of it
-    ++open.listeners;
-    if (!open.respond) return respond({Answer::Kind::taken});
-    open.respond = [first = std::move(open.respond), second = std::move(respond)](Answer answer) {
-      first(answer);
-      second(answer);
-    };
-    return;
-  }
+  if (known_already(message, respond)) return;
   if (copied_elsewhere(message, respond)) return;
+  if (journal_.holds(message.id)) return respond({Answer::Kind::failed});  // its notice is not taken yet
   if (!endpoints_.is_destination(message.destination)) {
     return respond({Answer::Kind::unknown_destination, whole_ms(config_.settings.max_wait_hint)});
   }
@@ -180,7 +165,7 @@
   Open& open = open_.at(message);
   if (open.over || --open.listeners > 0) return;
   MessageTrace::event(id, "withdrawn");
-  journal_.end(id);
+  end_withdrawn(open);
   if (copies_) copies_->copies().over(CopyNet::now(), id);
   happened(vetchhinge::Withdrawn{message});
   close_message(message);
@@ -195,6 +180,8 @@
                       "over", result.over, "elapsed_ms", whole_ms(result.elapsed).count(), "wait_ms",
                       whole_ms(result.wait).count());
   if (result.result == Result::delivered && !open.over) ++counters_.delivered;
+  if (result.result == Result::delivered && open.over)
+    journal_.remember(open.payload->id, ended(open, Ended::Told::taken));
   if (successor_) {
     if (out && !out->elsewhere)
       owners_.tell(CallRecord::of_outcome(out->call, open.payload->id, item.attempt, result));
@@ -217,7 +204,8 @@
                            result.result == Result::not_sent;
     if (!result.over) open.ended.push_back({item.attempt, endpoints_.name(host), name_of(result.result)});
     if (result.over) {
-      journal_.end(open.payload->id);
+      const bool delivered = result.result == Result::delivered;
+      journal_.end(open.payload->id, ended(open, delivered ? Ended::Told::taken : Ended::Told::failed));
       // Delivered before all have said that they hold it: there is nothing left to hold.
       if (open.respond) {
         ++counters_.taken;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -130,6 +130,12 @@
       return cls == m.cls && destination == m.destination && payload->key == m.key && payload->body == m.body;
     }
   };
+  // What its client sends once more is the same message.
+  bool known_already(const HandIn& message, Server::Respond& respond);
+  Answer answer_of(const Ended& ended, const HandIn& message) const;
+  Answer answer_of(const Open& withdrawn, const HandIn& message);
+  Ended ended(const Open& open, Ended::Told told, std::chrono::milliseconds retry_in = {}) const;
+  void end_withdrawn(const Open& open);
   struct DecidedCall {
     std::uint64_t number = 0;
     vetchhinge::HostId host{};
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -260,10 +260,12 @@
   Open& open = open_.at(found->second);
   if (open.over) return;
   const MessageId message = found->second;
-  journal_.end(id);
-  // Not promised to its client yet: it may come again.
-  if (open.respond)
+  if (open.respond) {  // not promised to its client yet: it may come again
+    journal_.end(id);
     std::exchange(open.respond, nullptr)({Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)});
+  } else {
+    journal_.end(id, ended(open, Ended::Told::taken));
+  }
   happened(vetchhinge::Withdrawn{message});
   close_message(message);
 }
--- a/relay/relay_journal.cpp
+++ b/relay/relay_journal.cpp
@@ -64,7 +64,8 @@
     return;  // a client was answered with it
   notice.message = found->second.payload->id;
   MessageTrace::event(notice.message, notice.handed_back ? "handed_back" : "given_up");
-  journal_.end_owing(notice);
+  const Ended::Told told = notice.handed_back ? Ended::Told::refused : Ended::Told::failed;
+  journal_.end_owing(notice, ended(found->second, told, notice.retry_in));
   found->second.ending = true;
   untold_ends_.push_back({id, std::move(notice), now() + kHandedBackWithin});
 }
@@ -81,7 +82,10 @@
       left.push_back(std::move(end));
       continue;
     }
-    end.notice.handed_back = end.notice.handed_back && kept;
+    if (end.notice.handed_back && !kept) {
+      end.notice.handed_back = false;
+      journal_.remember(end.notice.message, ended(open_.at(end.message), Ended::Told::failed));
+    }
     tell(std::move(end.notice));
     close_message(end.message);
   }
--- /dev/null
+++ b/relay/relay_same_request.cpp
@@ -0,0 +1,92 @@
+// The same request once more: a client can't tell whether its request was read before its connection broke.
+// What it hears is what the first one would have heard, whether its message is open or has ended.
+#include <algorithm>
+#include <utility>
+
+#include "ended_messages.h"
+#include "relay.h"
+
+namespace myrtlegrade {
+
+using vetchhinge::Duration;
+using vetchhinge::Effect;
+
+namespace {
+
+constexpr std::uint32_t kMostListeners = 4;  // to one message
+
+}  // namespace
+
+bool Relay::known_already(const HandIn& message, Server::Respond& respond) {
+  const auto known = ids_.find(message.id);
+  Open* const open = known == ids_.end() ? nullptr : &open_.at(known->second);
+  if (open && !open->over && !open->ending) {
+    // One message, two to tell. What only bears the same id must not pass for it, nor end it by going away;
+    // no client asks more than a few times.
+    if (!open->is(message) || open->listeners >= kMostListeners) {
+      respond({Answer::Kind::other_content});
+      return true;
+    }
+    ++open->listeners;
+    if (open->respond) {
+      open->respond = [first = std::move(open->respond), second = std::move(respond)](Answer answer) {
+        first(answer);
+        second(answer);
+      };
+    } else {
+      respond({Answer::Kind::taken});
+    }
+    return true;
+  }
+  if (const Ended* const ended = journal_.ended(message.id)) {
+    respond(answer_of(*ended, message));
+  } else if (open) {
+    respond(answer_of(*open, message));
+  } else {
+    return false;
+  }
+  return true;
+}
+
+// An end is told as it was the first time. What would be harmless only once others have heard of it, or the
+// disk has it, is told as failed.
+Answer Relay::answer_of(const Ended& ended, const HandIn& message) const {
+  if (ended.content != fingerprint_of_content(message.cls, message.destination, message.key, message.body))
+    return {Answer::Kind::other_content};
+  if (ended.told == Ended::Told::taken) return {Answer::Kind::taken};
+  const bool harmless = !records_at_decision() && !journal_.failing();
+  if (ended.told == Ended::Told::failed || !harmless) return {Answer::Kind::failed};
+  return {Answer::Kind::refused, ended.retry_in};
+}
+
+// Withdrawn, and nothing of it is remembered but that a call may still come up, on which it can't leave.
+Answer Relay::answer_of(const Open& open, const HandIn& message) {
+  if (!open.is(message)) return {Answer::Kind::other_content};
+  const bool harmless = !records_at_decision() && !open.ending && flush_journal();
+  if (!harmless) return {Answer::Kind::failed};
+  return {Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)};
+}
+
+Ended Relay::ended(const Open& open, Ended::Told told, std::chrono::milliseconds retry_in) const {
+  const Moment present = read_clocks();
+  const Moment& last = until(open.deadline, present) > Duration{} ? open.deadline : present;
+  return {told, retry_in,
+          fingerprint_of_content(open.cls, open.destination, open.payload->key, open.payload->body),
+          last + kComesAgainWithin};
+}
+
+// Its client did not hear of it. Only what may have run and must not run twice is more than never handed in.
+void Relay::end_withdrawn(const Open& open) {
+  const auto cls = config_.dialect.classes.find(open.cls);
+  const bool repeatable = cls && config_.settings.classes[*cls].effect == Effect::idempotent;
+  const bool may_have_run =
+      open.may_have_run || open.earlier_call_open ||
+      std::ranges::any_of(open.out, [](const Out& out) { return out.recorded && !out.reported; });
+  if (may_have_run && !repeatable) {
+    journal_.end(open.payload->id, ended(open, Ended::Told::failed));
+  } else {
+    journal_.end(open.payload->id);
+  }
+}
+
+}  // namespace myrtlegrade
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -124,6 +124,68 @@
   EXPECT_EQ(view_journal(folder_).format, kJournalFormat);
 }
 
+// Guards against a compaction that forgets what has ended, so that the same request runs again after a
+// restart.
+TEST_F(JournalTest, EndsAreRememberedOverACompactionAndAStart) {
+  const Moment until = read_clocks() + 60s;
+  {
+    Journal journal(folder_, 1'000'000);
+    for (const char* id : {"taken", "given-up", "past"}) journal.accept(message(id));
+    ASSERT_TRUE(journal.flush());
+    journal.end("taken", {Ended::Told::taken, {}, 1, until});
+    journal.end("past", {Ended::Told::taken, {}, 2, read_clocks()});
+    journal.end_owing({"given-up", false, {}}, Ended{Ended::Told::failed, {}, 3, until});
+    journal.end_owing({"back", true, 250ms}, Ended{Ended::Told::refused, 250ms, 4, until});
+    journal.notice_settled("back");
+    ASSERT_TRUE(journal.flush());
+    for (int i = 0; i < 20; ++i) {  // more than a file may hold that is not worth it
+      journal.accept(message("m", 20'000));
+      ASSERT_TRUE(journal.flush());
+      journal.end("m");
+    }
+    ASSERT_TRUE(journal.flush());
+  }
+  EXPECT_FALSE(view_journal(folder_).records.contains("notice_settled")) << "it was not compacted";
+  Journal journal(folder_, 1'000'000);
+  const auto expect = [&](const char* id, Ended::Told told, std::uint64_t content) {
+    const Ended* const ended = journal.ended(id);
+    ASSERT_TRUE(ended) << id;
+    EXPECT_EQ(ended->told, told) << id;
+    EXPECT_EQ(ended->content, content) << id;
+  };
+  expect("taken", Ended::Told::taken, 1);
+  expect("given-up", Ended::Told::failed, 3);
+  expect("back", Ended::Told::refused, 4);
+  EXPECT_EQ(journal.ended("back")->retry_in, 250ms);
+  EXPECT_FALSE(journal.ended("past"));
+  EXPECT_FALSE(journal.ended("m"));
+  EXPECT_TRUE(journal.take_messages().empty());
+  EXPECT_EQ(journal.take_notices().size(), 1U);
+}
+
+// Guards against a memory that takes the room of what is owed: the oldest go, and nothing is refused.
+TEST_F(JournalTest, EndsAreForgottenBeforeTheyTakeRoomFromWhatIsOwed) {
+  constexpr std::uint64_t kMost = 300'000, kEnds = 10'000;
+  const Moment until = read_clocks() + 60s;
+  {
+    Journal journal(folder_, kMost);
+    for (std::uint64_t i = 0; i < kEnds; ++i) {
+      const std::string id = std::to_string(i);
+      ASSERT_TRUE(journal.has_room(100)) << i;
+      journal.accept(message(id));
+      ASSERT_TRUE(journal.flush()) << i;
+      journal.end(id, {Ended::Told::taken, {}, i, until});
+      ASSERT_LE(on_disk(), kMost);
+    }
+    ASSERT_TRUE(journal.flush());
+    EXPECT_TRUE(journal.ended(std::to_string(kEnds - EndedMessages::kMost)));
+    EXPECT_FALSE(journal.ended(std::to_string(kEnds - EndedMessages::kMost - 1)));
+  }
+  const Journal journal(folder_, kMost);
+  constexpr std::uint64_t kLeft = kMost / 32 / kEndRecord;
+  for (std::uint64_t i = kEnds - kLeft; i < kEnds; ++i) EXPECT_TRUE(journal.ended(std::to_string(i)));
+}
+
 TEST_F(JournalTest, ATornTailIsCutAtAnyByte) {
   std::uintmax_t whole = 0;
   {
--- /dev/null
+++ b/tests/same_request_test.cpp
@@ -0,0 +1,225 @@
+// The same request once more, after its message has ended: a client can't tell whether its request was read
+// before its connection broke.
+#include <sys/socket.h>
+
+#include "journal.h"
+#include "journal_view.h"
+#include "upgrade_fixture.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+constexpr unsigned kFailed = 504, kRefused = 503;
+const std::vector<std::string> kClasses{"note", "receipt", "refund"};
+
+// Reads the call, and ends its connection: it may have run.
+const Behaviour kReset = [](tcp::socket&, Request&) { return false; };
+const Behaviour kError = [](tcp::socket& socket, Request&) { return answer(socket, 500); };
+
+class SameRequestTest : public UpgradeTest {
+ protected:
+  template <typename Holds>
+  static bool wait_until(Holds holds, SteadyClock::duration most = 10s) {
+    const auto until = SteadyClock::now() + most;
+    while (!holds()) {
+      if (SteadyClock::now() > until) return false;
+      std::this_thread::sleep_for(2ms);
+    }
+    return true;
+  }
+  // The journal has its end, so the relay knows of it.
+  bool wait_ended(const std::string& id, SteadyClock::duration most = 10s) {
+    const auto ended = [&] {
+      const auto messages = view_journal(folder_ / "state").messages;
+      return std::ranges::find(messages, id, &StoredMessage::id) == messages.end();
+    };
+    return wait_until(ended, most);
+  }
+  static bool wait_log(const std::optional<Process>& process, const std::string& text) {
+    return wait_until([&] { return process->log_with_start().find(text) != std::string::npos; });
+  }
+  // Each answered as delivered, none called again.
+  void expect_delivered_once() {
+    for (const std::string& cls : kClasses) EXPECT_EQ(hand_in(cls, cls, 2), 202U) << cls;
+    pass_marker("marker-" + std::to_string(++markers_), 2);
+    for (const std::string& cls : kClasses) EXPECT_EQ(count_seen(cls), 1U) << cls;
+  }
+  static void reset(tcp::socket& socket) {
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+  }
+  void upgrade() {
+    const fs::path file = folder_ / "beside.json";
+    std::ofstream(file) << json::serialize(beside());
+    std::map<std::string, std::string> environment = environment_;
+    environment.insert({{"PROXY_CONFIG", file}, {"PROXY_STATE", folder_ / "state"}});
+    new_.emplace(PROGRAM, environment);
+    ASSERT_TRUE(wait_healthy(new_));
+    process_->signal(SIGTERM);
+    ASSERT_TRUE(wait_log(new_, "took over"));
+  }
+  int markers_ = 0;
+};
+
+// Guards against work that may not be repeated being called twice: at once, over restarts, and over an
+// upgrade at the new process and on a connection to the old one.
+TEST_F(SameRequestTest, AfterItsDeliveryIsAnsweredAsDelivered) {
+  add_host("h", 2, "plain", kAccept);
+  start(with_second_address());
+  for (const std::string& cls : kClasses) {
+    ASSERT_EQ(hand_in(cls, cls, 2), 202U);
+    ASSERT_TRUE(wait_seen(cls));
+    ASSERT_TRUE(wait_ended(cls));
+  }
+  expect_delivered_once();
+  for (const int signal : {SIGTERM, SIGKILL}) {
+    stop(signal);
+    start(with_second_address());
+    expect_delivered_once();
+  }
+  EXPECT_EQ(hand_in("refund", "refund", 2, "another body"), 409U);
+  EXPECT_EQ(hand_in("refund", "note", 2), 409U);
+  boost::asio::io_context context;
+  tcp::socket kept = connect(context, address_);
+  std::this_thread::sleep_for(50ms);  // it is accepted
+  upgrade();
+  http::write(kept, message("refund", "refund", 2));
+  boost::beast::flat_buffer buffer;
+  Response response;
+  http::read(kept, buffer, response);
+  EXPECT_EQ(response.result_int(), 202U);
+  expect_delivered_once();
+}
+
+// Guards against a second end of what has had one.
+TEST_F(SameRequestTest, AfterItsMessageWasGivenUpFails) {
+  add_host("h", 2, "plain", kReset);
+  start();
+  ASSERT_EQ(hand_in("once", "refund", 2), 202U);
+  ASSERT_TRUE(wait_notice("once", "given_up"));
+  behave("h", kAccept);
+  EXPECT_EQ(hand_in("once", "refund", 2), kFailed);
+  stop(SIGKILL);
+  start();
+  EXPECT_EQ(hand_in("once", "refund", 2), kFailed);
+  pass_marker("marker", 2);
+  EXPECT_EQ(count_seen("once"), 1U);
+}
+
+TEST_F(SameRequestTest, AfterItsMessageWasHandedBackIsRefused) {
+  add_host("h", 2, "plain", kError);
+  start();
+  ASSERT_EQ(hand_in("back", "note", 2), 202U);
+  ASSERT_TRUE(wait_notice("back", "handed_back"));
+  const std::size_t calls = count_seen("back");
+  behave("h", kAccept);
+  for (int start_number = 0; start_number < 2; ++start_number) {
+    const Response response = ask(address_, message("back", "note", 2));
+    EXPECT_EQ(response.result_int(), kRefused);
+    EXPECT_TRUE(response.count(http::field::retry_after));
+    if (start_number > 0) break;
+    stop(SIGKILL);
+    start();
+  }
+  pass_marker("marker", 2);
+  EXPECT_EQ(count_seen("back"), calls);
+}
+
+// Guards against a notice that the platform takes late ending another message, one of the same id.
+TEST_F(SameRequestTest, IsNoNewMessageWhileTheNoticeOfItsEndIsUntold) {
+  add_host("h", 2, "plain", kReset);
+  watched_.change([&] { notices_to_fail_ = 1000; });
+  start();
+  const Request request = with_time(message("once", "refund", 2), 300);
+  ASSERT_EQ(ask(address_, request).result_int(), 202U);
+  ASSERT_TRUE(wait_ended("once"));
+  std::this_thread::sleep_for(300ms + kComesAgainWithin + 50ms);
+  behave("h", kAccept);
+  EXPECT_EQ(ask(address_, request).result_int(), kFailed);
+  watched_.change([&] { notices_to_fail_ = 0; });
+  EXPECT_TRUE(wait_notice("once", "given_up"));
+  EXPECT_EQ(count_seen("once"), 1U);
+}
+
+// Guards against an end that only memory knows being forgotten while the folder takes nothing.
+TEST_F(SameRequestTest, AfterItsDeliveryIsAnsweredAsDeliveredThoughTheFolderFails) {
+  constexpr auto kFailsAfter = 2000ms;
+  const auto begun = SteadyClock::now();
+  environment_["LD_PRELOAD"] = SHIM;
+  environment_["SOAK_BEGIN_MS"] = std::to_string(begun.time_since_epoch() / 1ms);
+  environment_["SOAK_FOLDER"] = std::to_string(kFailsAfter / 1ms) + ":1000000:1";
+  environment_["PROXY_TRACE"] = "1";
+  add_host("h", 2, "plain", silent());
+  json::object patient = config();
+  json::array& classes = patient.at("settings").at("classes").as_array();
+  for (json::value& cls : classes) cls.as_object()["aim"] = 10000.0;
+  start(patient);
+  ASSERT_EQ(hand_in("once", "refund", 2), 202U);
+  ASSERT_TRUE(wait_seen("once"));
+  std::this_thread::sleep_until(begun + kFailsAfter + 50ms);
+  watched_.change([&] { released_ = true; });
+  ASSERT_TRUE(wait_log(process_, "once outcome attempt=0 result=ok"));
+  EXPECT_EQ(hand_in("once", "refund", 2), 202U);
+  EXPECT_FALSE(wait_ended("once", 100ms)) << "the folder does not fail";
+  EXPECT_EQ(count_seen("once"), 1U);
+}
+
+// Guards against a message that never ran being told as failed, as its client comes again at once.
+TEST_F(SameRequestTest, AfterItsMessageWasWithdrawnUncalledIsRefusedOrNew) {
+  const FullBacklog hung;
+  list_host("h", 2, "plain", hung.address());
+  environment_["PROXY_TRACE"] = "1";
+  start();
+  for (const std::string& cls : kClasses) {
+    boost::asio::io_context context;
+    tcp::socket client = connect(context, address_);
+    std::this_thread::sleep_for(50ms);  // it is accepted, and its request will be read though it goes away
+    process_->signal(SIGSTOP);
+    http::write(client, message(cls, cls, 2));
+    reset(client);
+    process_->signal(SIGCONT);
+    ASSERT_TRUE(wait_log(process_, cls + " withdrawn")) << cls;
+    EXPECT_EQ(hand_in(cls, cls, 2), kRefused) << cls;
+  }
+  add_host("h2", 2, "plain", kAccept);
+  push(list());
+  ASSERT_TRUE(wait_until([&] { return hand_in("refund", "refund", 2) == 202U; })) << "its call can't come up";
+  EXPECT_TRUE(wait_seen("refund"));
+}
+
+// The client of a message that a new process has taken on and called is gone before the old one can tell it.
+TEST_F(SameRequestTest, AfterItsMessageWasWithdrawnAndMayHaveRunRunsOnlyWhatMayRunTwice) {
+  environment_["PROXY_TRACE"] = "1";
+  add_host("h", 2, "plain", [this](tcp::socket& socket, Request&) {
+    watched_.wait([this] { return over_ || released_; });
+    return socket.is_open() && false;
+  });
+  start(with_second_address());
+  boost::asio::io_context context;
+  std::vector<tcp::socket> clients;
+  for (std::size_t i = 0; i < kClasses.size(); ++i) clients.push_back(connect(context, address_));
+  std::this_thread::sleep_for(50ms);  // they are accepted
+  upgrade();
+  new_->signal(SIGSTOP);
+  for (std::size_t i = 0; i < kClasses.size(); ++i)
+    http::write(clients[i], message(kClasses[i], kClasses[i], 2));
+  std::this_thread::sleep_for(100ms);  // the old process hands them on
+  process_->signal(SIGSTOP);
+  new_->signal(SIGCONT);
+  for (const std::string& cls : kClasses) ASSERT_TRUE(wait_seen(cls)) << cls;
+  for (tcp::socket& client : clients) reset(client);
+  process_->signal(SIGCONT);
+  for (const std::string& cls : kClasses) ASSERT_TRUE(wait_log(new_, cls + " withdrawn")) << cls;
+  behave("h", kAccept);
+  watched_.change([&] { released_ = true; });
+  for (const std::string& cls : kClasses) ASSERT_TRUE(wait_log(new_, cls + " outcome")) << cls;
+  EXPECT_TRUE(wait_until([&] { return hand_in("note", "note", 2) == 202U; }));
+  EXPECT_EQ(hand_in("receipt", "receipt", 2), kFailed);
+  EXPECT_EQ(hand_in("refund", "refund", 2), kFailed);
+  EXPECT_TRUE(wait_seen("note", 2));
+  EXPECT_EQ(count_seen("refund"), 1U);
+  EXPECT_EQ(count_seen("receipt"), 1U);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
