--- a/common/bytes.h
+++ b/common/bytes.h
@@ -2,6 +2,7 @@
 // with its length and a checksum ahead.
 #pragma once
 
+#include <array>
 #include <bit>
 #include <boost/crc.hpp>
 #include <chrono>
@@ -27,7 +28,9 @@
     bytes_ += static_cast<char>(kind);
   }
   Writer& number(std::uint64_t value) {
-    for (int shift = 0; shift < 64; shift += 8) bytes_ += static_cast<char>(value >> shift & 0xff);
+    std::array<char, sizeof value> part;
+    for (std::size_t i = 0; i < part.size(); ++i) part[i] = static_cast<char>(value >> 8 * i & 0xff);
+    bytes_.append(part.data(), part.size());
     return *this;
   }
   Writer& real(double value) { return number(std::bit_cast<std::uint64_t>(value)); }
