Take no relay for ready that was told to end while the lab asked it

Trace: SIGTERM at 5.170 s, while the relay was starting; the answer to a question for its health from before came at 5.307 s, and the lab took the relay for ready. The relay was killed at 8.24 s and gave the messages up at its next start.

The lab now drops such an answer, as it drops one for an earlier start.

--- a/lab/drive_processes.cpp
+++ b/lab/drive_processes.cpp
@@ -164,7 +164,7 @@
       if (!error)
         co_await http::async_read(socket, buffer, response, asio::redirect_error(asio::use_awaitable, error));
     }
-    if (r.start != start) co_return;
+    if (r.start != start || r.to_end) co_return;  // one that was told to end meanwhile is not back
     if (!error && response.result_int() == 200) {
       r.up = true;
       r.runs_from = now();
