--- a/relay/journal.h
+++ b/relay/journal.h
@@ -47,6 +47,8 @@
   std::string message;
   bool handed_back = false;  // otherwise given up
   std::chrono::milliseconds retry_in{};
+  // When the platform has to have it, by the steady clock; not stored. None: as soon as can be.
+  std::optional<vetchhinge::Time> owed_by{};
 };
 
 class Owed;  // while it is read
--- a/relay/notice_sender.cpp
+++ b/relay/notice_sender.cpp
@@ -8,6 +8,7 @@
 #include <boost/json.hpp>
 #include <utility>
 
+#include "budgets.h"
 #include "coroutine.h"
 #include "stream_io.h"
 
@@ -23,12 +24,9 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMostNotices = 64;  // in one call
-constexpr auto kOwedWithin = 250ms;       // of the 300 ms, the rest is for the way
-constexpr int kTriesInTime = 4;           // that get no answer, at least
-constexpr auto kShortestTry = 40ms;       // the agent is on this machine and answers at once
 constexpr auto kLongestTry = 200ms;
 constexpr int kPausesInTime = 32;
-constexpr auto kShortestPause = 2ms, kLongestPause = 8ms;  // in time
+constexpr auto kShortestPause = 2ms;  // in time
 constexpr auto kLatePause = 20ms, kLongestLatePause = 100ms;
 constexpr int kMostDoublings = 3;
 
@@ -48,7 +46,10 @@
       retry_(executor_) {}
 
 void NoticeSender::send(Notice notice) {
-  notices_.push_back({std::move(notice), Clock::now() + kOwedWithin});
+  const Clock::time_point paced = Clock::now() + budgets::kNoticePaced + budgets::kNoticeWay;
+  const Clock::time_point owed =
+      notice.owed_by ? Clock::time_point(notice.owed_by->time_since_epoch()) : Clock::time_point::max();
+  notices_.push_back({std::move(notice), std::min(paced, owed)});
   if (!std::exchange(running_, true)) return spawn(executor_, run());
   retry_.cancel();  // a pause that is long, for what is late already
 }
@@ -71,22 +72,33 @@
   spare_.keep();
 }
 
-// Of the time of the newest notice: with it all are told.
+// Of the next notice that is still in time. One that is late is told with it, and takes no time from it.
 NoticeSender::Clock::duration NoticeSender::left() const {
-  if (notices_.empty()) return {};
-  return std::max<Clock::duration>(notices_.back().due - Clock::now(), Clock::duration::zero());
+  const Clock::time_point present = Clock::now();
+  Clock::duration least = Clock::duration::zero();
+  for (const Pending& pending : notices_) {
+    const Clock::duration left = pending.due - present;
+    if (left > Clock::duration::zero() && (least == Clock::duration::zero() || left < least)) least = left;
+  }
+  return least;
+}
+
+// Of that, what tries may use: the last one has its way still to go.
+NoticeSender::Clock::duration NoticeSender::left_for_tries() const {
+  return std::max<Clock::duration>(left() - budgets::kNoticeWay, Clock::duration::zero());
 }
 
 // A service that is slower than that is given more with each try, or it would never be heard to answer.
 NoticeSender::Clock::duration NoticeSender::try_length() const {
-  const Clock::duration least = kShortestTry * (1 << std::min(time_outs_, kMostDoublings));
-  return std::clamp<Clock::duration>(left() / kTriesInTime, std::min<Clock::duration>(least, kLongestTry),
-                                     kLongestTry);
+  const Clock::duration least = budgets::kShortestTry * (1 << std::min(time_outs_, kMostDoublings));
+  return std::clamp<Clock::duration>(left_for_tries() / budgets::kNoticeTries,
+                                     std::min<Clock::duration>(least, kLongestTry), kLongestTry);
 }
 
 NoticeSender::Clock::duration NoticeSender::pause() const {
   if (left() > Clock::duration::zero())
-    return std::clamp<Clock::duration>(left() / kPausesInTime, kShortestPause, kLongestPause);
+    return std::clamp<Clock::duration>(left_for_tries() / kPausesInTime, kShortestPause,
+                                       budgets::kLongestPause);
   return std::min<Clock::duration>(kLatePause * (1 << std::min(failures_, kMostDoublings)),
                                    kLongestLatePause);
 }
--- a/relay/notice_sender.h
+++ b/relay/notice_sender.h
@@ -29,7 +29,7 @@
 
   NoticeSender(boost::asio::any_io_executor executor, Endpoint address, OnSettled on_settled);
 
-  // Sent again until the platform has taken it.
+  // Sent again until the platform has taken it, with more tries the less is left until it is owed.
   void send(Notice notice);
   bool pending() const { return !notices_.empty(); }
 
@@ -54,6 +54,7 @@
   void settle(std::size_t count);
   void drop_connection();
   Clock::duration left() const;
+  Clock::duration left_for_tries() const;
   Clock::duration try_length() const;
   Clock::duration pause() const;
 
--- a/relay/relay_journal.cpp
+++ b/relay/relay_journal.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <utility>
 
+#include "budgets.h"
 #include "message_trace.h"
 #include "relay.h"
 
@@ -10,14 +11,7 @@
 
 using vetchhinge::Effect;
 using vetchhinge::MessageId;
-using namespace std::chrono_literals;
-
-namespace {
-
-constexpr auto kJournalRetry = 60ms;       // of a folder that fails
-constexpr auto kHandedBackWithin = 150ms;  // told as failed where the journal does not take it by then (ours)
-
-}  // namespace
+using SteadyClock = std::chrono::steady_clock;
 
 void Relay::record_attempt(const Open& open, Out& out) {
   journal_.attempt(open.payload->id, out.attempt,
@@ -67,7 +61,12 @@
   const Ended::Told told = notice.handed_back ? Ended::Told::refused : Ended::Told::failed;
   journal_.end_owing(notice, ended(found->second, told, notice.retry_in));
   found->second.ending = true;
-  untold_ends_.push_back({id, std::move(notice), now() + kHandedBackWithin});
+  // By the step's clock and the message's, however late this is reached.
+  const vetchhinge::Time over = due_at(found->second.deadline, read_clocks());
+  notice.owed_by = over + budgets::kNoticeOwed;
+  const auto due = std::min<vetchhinge::Time>(steady_time(last_step_) + budgets::kHandedBackWithin,
+                                              *notice.owed_by - budgets::kKeptForNotice);
+  untold_ends_.push_back({id, std::move(notice), due});
 }
 
 // A restart would send what the journal does not know to be over, and a client that has its message back
@@ -98,12 +97,20 @@
   return kept;
 }
 
+// Again soon, and by the moment by which an end has to be told.
 void Relay::retry_journal() {
-  if (successor_ || std::exchange(journal_retried_, true)) return;
-  journal_timer_.expires_after(kJournalRetry);
+  if (successor_) return;
+  vetchhinge::Time next = now() + budgets::kJournalRetry;
+  for (const UntoldEnd& end : untold_ends_) {
+    if (end.notice.handed_back) next = std::min(next, end.due);
+  }
+  const SteadyClock::time_point at(next.time_since_epoch());
+  if (std::exchange(journal_retried_, true) && journal_timer_.expiry() <= at) return;
+  journal_timer_.expires_at(at);
   journal_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;  // another moment counts
     journal_retried_ = false;
-    if (!error) tell_ends(flush_journal());
+    tell_ends(flush_journal());
   });
 }
 
--- /dev/null
+++ b/tests/notice_sender_test.cpp
@@ -0,0 +1,51 @@
+// The tries of a notice, against a platform that answers every second one.
+#include "notice_sender.h"
+
+#include <gtest/gtest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <vector>
+
+#include "budgets.h"
+#include "host_list.h"
+#include "loopback.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+using namespace std::chrono_literals;
+using SteadyClock = std::chrono::steady_clock;
+
+// A notice that is late when it is handed over shares what is left between its tries. What happened: its time
+// began anew, and a try that got no answer took a quarter of 250 ms of a notice that was owed within 60.
+TEST(NoticeSender, TriesFollowFromWhatIsLeftUntilItIsOwed) {
+  constexpr int kRounds = 5;  // one whose tries were not delayed by the machine is enough
+  Watched watched;
+  std::vector<SteadyClock::time_point> tries;
+  Peer platform([&](tcp::socket& socket, Request&) {
+    bool swallow = false;
+    watched.change([&] {
+      tries.push_back(SteadyClock::now());
+      swallow = tries.size() % 2 == 1;
+    });
+    return swallow || answer(socket, 204);
+  });
+  const std::string address = platform.address();
+  const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+  for (int round = 0; round < kRounds; ++round) {
+    boost::asio::io_context context;
+    NoticeSender sender(context.get_executor(), {boost::asio::ip::address_v4::loopback(), port},
+                        [](const std::string&) {});
+    Notice notice{"m", false, {}};
+    notice.owed_by = steady_time() + budgets::kNoticeWay + 10ms;
+    sender.send(notice);
+    context.run_for(2s);
+    ASSERT_FALSE(sender.pending());
+  }
+  auto least = SteadyClock::duration::max();
+  for (std::size_t n = 1; n < tries.size(); n += 2) least = std::min(least, tries[n] - tries[n - 1]);
+  EXPECT_LT(least, budgets::kNoticePaced / budgets::kNoticeTries);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
