--- a/relay/ended_messages.cpp
+++ b/relay/ended_messages.cpp
@@ -1,38 +1,14 @@
 #include "ended_messages.h"
 
-#include <bit>
-#include <cstring>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
 
-namespace myrtlegrade {
-
-namespace {
-
-constexpr std::uint64_t kSpread = 0x9e3779b97f4a7c15;  // odd, its bits well mixed
-
-std::uint64_t mix(std::uint64_t hash, std::uint64_t word) {
-  hash = (hash ^ word) * kSpread;
-  return hash ^ hash >> 32;
-}
-
-std::uint64_t little_endian(std::string_view bytes) {
-  std::uint64_t word = 0;
-  if constexpr (std::endian::native == std::endian::little) {
-    std::memcpy(&word, bytes.data(), bytes.size());
-  } else {
-    for (std::size_t i = bytes.size(); i > 0; --i)
-      word = word << 8 | static_cast<unsigned char>(bytes[i - 1]);
-  }
-  return word;
-}
+#include "journal_records.h"
 
-}  // namespace
+namespace myrtlegrade {
 
 std::uint64_t fingerprint(std::string_view text, std::uint64_t seed) {
-  std::uint64_t hash = mix(seed, text.size());
-  for (; text.size() >= sizeof hash; text.remove_prefix(sizeof hash)) {
-    hash = mix(hash, little_endian(text.substr(0, sizeof hash)));
-  }
-  return mix(mix(hash, little_endian(text)), kSpread);
+  return XXH3_64bits_withSeed(text.data(), text.size(), seed);
 }
 
 std::uint64_t fingerprint_of_content(std::string_view cls, std::uint64_t destination, std::string_view key,
@@ -43,7 +19,7 @@
 Writer& write(Writer& out, const Ended& e) {
   out.number(static_cast<std::uint64_t>(e.retry_in.count()) << 2 | static_cast<std::uint64_t>(e.told));
   out.number(e.content);
-  return out.time(e.until.wall).number(e.until.boot).time(e.until.steady);
+  return write(out, e.until);
 }
 
 Ended read_ended(Reader& in) {
@@ -52,9 +28,7 @@
   e.told = static_cast<Ended::Told>(how & 3);
   e.retry_in = std::chrono::milliseconds(how >> 2);
   e.content = in.number();
-  e.until.wall = in.time<WallTime>();
-  e.until.boot = in.number();
-  e.until.steady = in.time<vetchhinge::Time>();
+  e.until = read_moment(in);
   return e;
 }
 
