Let calls go on behind a lost link as long as the process that took over lives

Seen with forced links (tests/call_ends_test.cpp): a link that broke behind a hand-over cut every call that was out at the old process. A message that may not be repeated was given up, though its endpoint had done it and answered.

Cause: without the link nobody could hear what becomes of the calls, so they were ended at once. Their owner's file tells it now.

Where none lives, where it never said that it took over, or where the old process has no file, the calls are cut as before. The descriptors that the old process told last count until its calls are over.

--- a/relay/call_owners.cpp
+++ b/relay/call_owners.cpp
@@ -140,6 +140,14 @@
   return now - *earlier.free_since >= kLongestHoldUp;
 }
 
+CallOwners::Life CallOwners::life_of(const std::string& name) const {
+  Earlier looked;
+  Told told;
+  const FileState state = state_of(name, looked);
+  if (state == FileState::locked) return Life::lives;
+  return is_gone(name, looked, told) ? Life::released : Life::dead;
+}
+
 void CallOwners::expect(const std::string& name) {
   add_earlier(name);
   if (started_ != Clock::time_point{} && !looking_) look_after(kLookEvery);
--- a/relay/call_owners.h
+++ b/relay/call_owners.h
@@ -64,6 +64,10 @@
   // Of a call that this process has out. Where its file does not take it now, it is tried again.
   void tell(const CallRecord& record);
 
+  // Whether a process lives; one that has no call out any more may have ended or not.
+  enum class Life { lives, released, dead };
+  Life life_of(const std::string& name) const;
+
   // No connection of this process carries a call any more, and none will.
   void release();
 
--- a/relay/frames.h
+++ b/relay/frames.h
@@ -35,6 +35,7 @@
   returned,   // no answer: the one that asked is the relay itself by now
   reloaded,   // old to new: when it read its configuration last, and where that says discovery is
   call_over,  // a call that was out then: its connection is closed, or its whole answer has come
+  took_over,  // new to old: knows the calls that were handed over; its name among CallOwners
 };
 
 // A message of a call that is out when a process gives over: with an outcome or without, for as long as the
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -71,8 +71,13 @@
   void call_over_elsewhere(std::uint64_t call, CallEnd end);
   // The link to it has ended, which proves nothing of its connections: see CallOwners.
   void predecessor_gone();
-  // Nobody hears what becomes of the calls that are out here: they end at once.
+  // Nobody takes up what becomes of the calls that are out here: they end at once.
   void successor_gone();
+  // Of this process among CallOwners; empty where none can read what it tells of its calls.
+  const std::string& owner_name() const { return owners_.name(); }
+  CallOwners::Life life_of(const std::string& owner) const { return owners_.life_of(owner); }
+  // This process knows all that the one before it had out at the hand-over.
+  bool knows_calls() const { return knows_calls_; }
 
   // So many are in use by another process that counts with this one.
   void leave_descriptors(std::size_t count);
@@ -154,6 +159,7 @@
   Out* find_out(Open& open, std::uint32_t attempt);
   void call_over(std::uint64_t call, CallEnd end);
   void never_called(std::uint64_t call, vetchhinge::HostId host, const std::vector<CallItem>& items);
+  void free_descriptors();
   bool is_out_at(const std::string& owner, std::uint64_t call) const;
   void read_of_call(const std::string& owner, const CallRecord& record);
   void owner_gone(const std::string& owner);
@@ -257,6 +263,8 @@
   std::uint32_t last_id_ = 0;
   std::uint64_t last_call_ = 0;
   std::unordered_map<std::uint64_t, CallOut> calls_;  // by number: those of this process, and inherited ones
+  bool knows_calls_ = false;                          // what was handed over could be read
+  bool predecessor_gone_ = false;                     // the link to it has ended
   bool earlier_calls_open_ = false;                   // calls that nobody handed over may be out
 
   std::optional<Inheritance> inherited_;  // until it is taken up
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -43,6 +43,7 @@
     discovery_.send(notice);
   }
   std::unordered_map<std::string, const OutCall*> out;
+  knows_calls_ = inherited.has_value();
   if (inherited) {
     last_call_ = inherited->last_call;
     leave_descriptors(inherited->descriptors);
@@ -194,6 +195,7 @@
     }
   }
   call_over(number, end);
+  free_descriptors();
 }
 
 bool Relay::is_out_at(const std::string& owner, std::uint64_t number) const {
@@ -232,11 +234,18 @@
 // One without a name can only be waited for: so long it may take from the link's end to that of its
 // connections.
 void Relay::predecessor_gone() {
-  leave_descriptors(0);
+  predecessor_gone_ = true;
+  free_descriptors();
   owner_timer_.expires_after(CallOwners::kLongestHoldUp);
   owner_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) owner_gone({});
   });
 }
 
+// Where its link is lost, it holds what it told last for as long as its calls go on.
+void Relay::free_descriptors() {
+  const auto elsewhere = [](const auto& entry) { return entry.second.elsewhere; };
+  if (predecessor_gone_ && std::ranges::none_of(calls_, elsewhere)) leave_descriptors(0);
+}
+
 }  // namespace myrtlegrade
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -304,6 +304,8 @@
   }
   become(std::move(inherited));
   std::cerr << "myrtlegrade: took over" << std::endl;
+  if (relay_->knows_calls() && predecessor_)
+    predecessor_->send(Writer(Frame::took_over).text(relay_->owner_name()));
 }
 
 void Succession::heard_from_predecessor(const std::string& frame) {
@@ -378,7 +380,10 @@
   drop_questions();
   // What clients handed in may be on its disk or not: no answer would be true.
   for (const auto& [token, respond] : std::exchange(handed_in_, {})) respond({Answer::Kind::failed, {}});
-  if (given_over_) relay_->successor_gone();
+  if (given_over_) {
+    std::cerr << "myrtlegrade: the link to the new process is lost" << std::endl;
+    watch_heir();
+  }
   if (!std::exchange(successor_ready_, false) || given_over_) co_return;
   link_lost_ = SteadyClock::now();
   if (ending_) await_link();  // lost between the question and its answer
@@ -392,6 +397,8 @@
     if (successor_ready_ && awaits_link_) ask_to_prepare();
   } else if (kind == Frame::prepared) {
     if (ending_ && !given_over_ && successor_ready_) give_over();
+  } else if (kind == Frame::took_over) {
+    heir_ = in.text();
   } else if (kind == Frame::answer) {
     const auto found = handed_in_.find(in.number());
     if (found == handed_in_.end()) return;
@@ -441,6 +448,25 @@
   std::cerr << "myrtlegrade: gave over" << std::endl;
 }
 
+// One that took over, or a later one: it reads what becomes of the calls from this process's file. The heir's
+// own file tells whether it died. Where it has gone in order, somebody else is the relay, or nobody.
+bool Succession::heir_lives() {
+  if (heir_.empty() || relay_->owner_name().empty()) return false;
+  const auto life = relay_->life_of(heir_);
+  if (life != CallOwners::Life::released) return life == CallOwners::Life::lives;
+  if (!lock_.try_take()) return true;
+  lock_.release();
+  return false;
+}
+
+void Succession::watch_heir() {
+  if (!heir_lives()) return relay_->successor_gone();
+  usage_timer_.expires_after(kLook);
+  usage_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) watch_heir();
+  });
+}
+
 void Succession::tell_usage() {
   if (!successor_) return;
   successor_->send(Writer(Frame::usage).number(relay_->descriptors()));
@@ -450,40 +476,4 @@
   });
 }
 
-// -------------------------------------------------------------------------- the operators' calls
-
-void Succession::called(const std::string& line, const AdminServer::Reply& reply) {
-  if (line == "HEALTH") {
-    if (ending_) return reply("NAK ending");
-    if (relay_) return reply(relay_->ready() ? "ACK" : "NAK no host is known yet");
-    return reply(standing_by_ ? "ACK" : "NAK not ready to take over");
-  }
-  if (given_over_) return ask_other(successor_, line, reply);
-  if (relay_ && line == "FLEET")
-    return reply(fleet_ ? "ACK " + fleet_->view() : "NAK this relay is in no fleet");
-  if (relay_ && line == "COPIES")
-    return reply(relay_->copies() ? "ACK " + relay_->copies()->state() : "NAK this relay makes no copies");
-  if (relay_) return reply(relay_->called(line));
-  ask_other(predecessor_, line, reply);
-}
-
-void Succession::ask_other(const Links& link, const std::string& line, const AdminServer::Reply& reply) {
-  if (!link) return reply("NAK not serving");
-  link->send(Writer(Frame::call).number(++last_token_).text(line));
-  questions_.emplace(last_token_, Question{line, reply});
-}
-
-void Succession::replied(Reader& in, bool returned) {
-  const auto found = questions_.find(in.number());
-  if (found == questions_.end()) return;
-  const Question question = std::move(found->second);
-  questions_.erase(found);
-  if (!returned) return question.reply(in.text());
-  called(question.line, question.reply);
-}
-
-void Succession::drop_questions() {
-  for (const auto& [token, question] : std::exchange(questions_, {})) question.reply("NAK not serving");
-}
-
 }  // namespace myrtlegrade
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -62,6 +62,8 @@
   void await_link();
   void ask_to_prepare();
   void give_over();
+  bool heir_lives();
+  void watch_heir();
   void leave_alone();
   void close_successors();
   void tell_reloaded();
@@ -88,6 +90,7 @@
   bool standing_by_ = false;      // could take over at once
   bool successor_ready_ = false;  // has said which version it speaks
   bool ending_ = false, given_over_ = false;
+  std::string heir_;          // the process that took over from this one, by its name among CallOwners
   bool awaits_link_ = false;  // it is to end, and its successor's link was lost a moment ago
   std::chrono::steady_clock::time_point told_to_end_{};
   std::optional<std::chrono::steady_clock::time_point> link_lost_;  // that a process stood by on
