Count the 0.15 s after an owner of calls from when its lock is free at last

Seen by reading: a file of calls is made first and locked then. Who looked in between found it free and kept that time, though it found the lock taken at each later look; when the owner was killed much later, it counted as gone at once, and not 0.15 s after, for which its connections may stay open (two attempts at once).

Cause: the time was never forgotten when the lock was found taken.

The test (one process, a lock that is taken 50 ms after the first look) failed before: gone 10 ms after the lock was free, 150 ms wanted. It passes now.

--- a/relay/call_owners.cpp
+++ b/relay/call_owners.cpp
@@ -134,6 +134,7 @@
       }
     }
   }
+  if (state == FileState::locked) earlier.free_since.reset();
   if (closed || state == FileState::locked) return closed;
   const auto now = Clock::now();
   if (!earlier.free_since) earlier.free_since = now;
--- /dev/null
+++ b/tests/call_owners_test.cpp
@@ -0,0 +1,47 @@
+// Which earlier processes may still have calls out, by the locks on their files.
+#include "call_owners.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <stdlib.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <filesystem>
+
+namespace myrtlegrade::test {
+namespace {
+
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+
+// Guards against counting the time for which a lock has been free from before its owner took it: a file is
+// made first and locked then, and who looks in between finds it free.
+TEST(CallOwnersTest, ALockThatWasFreeBeforeIsWaitedForAnew) {
+  std::string pattern = fs::temp_directory_path() / "owners-XXXXXX";
+  const fs::path folder = ::mkdtemp(pattern.data());
+  const int file = ::open((folder / "calls-other").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+  std::chrono::steady_clock::time_point gone_at{};
+  boost::asio::io_context context;
+  {
+    CallOwners owners(context.get_executor(), folder,
+                      {.told = [](const std::string&, const CallRecord&) {},
+                       .gone = [&](const std::string&) { gone_at = std::chrono::steady_clock::now(); },
+                       .none_left = [] {}});
+    owners.start();
+    context.run_for(CallOwners::kLongestHoldUp / 3);
+    ASSERT_EQ(::flock(file, LOCK_EX | LOCK_NB), 0);
+    context.run_for(2 * CallOwners::kLongestHoldUp);
+    EXPECT_EQ(gone_at.time_since_epoch().count(), 0);
+    ::close(file);
+    const auto freed = std::chrono::steady_clock::now();
+    context.run_for(2 * CallOwners::kLongestHoldUp);
+    EXPECT_GE(gone_at - freed, CallOwners::kLongestHoldUp);
+  }
+  fs::remove_all(folder);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
