Read the configuration again where a process begins to serve without a hand-over

Seen with a forced link: the old process alone is told to read its configuration again, the link that would pass it on is down, and the old one ends alone.

Cause: only a link told the new process of it. Mend: a process that waited for another one, and begins to serve with nothing handed over, reads its file again, as at SIGHUP. One that serves at once does not.

The test failed before: the new process had not asked the new address after 15 s. It passes now.

--- a/relay/main.cpp
+++ b/relay/main.cpp
@@ -38,9 +38,10 @@
     // Before all that takes time: until it is handled, each of these signals ends the process.
     boost::asio::signal_set endings(context, SIGTERM, SIGINT);
     boost::asio::signal_set reloads(context, SIGHUP);
-    myrtlegrade::Succession succession(context.get_executor(), myrtlegrade::load_config(),
-                                       [&] { context.stop(); });
     boost::asio::thread_pool reading(1);
+    myrtlegrade::Succession succession(
+        context.get_executor(), myrtlegrade::load_config(), [&] { context.stop(); },
+        [&] { reload(reading, context, succession); });
     endings.async_wait([&](boost::system::error_code error, int) {
       if (!error) succession.end();
     });
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -37,10 +37,12 @@
 
 }  // namespace
 
-Succession::Succession(asio::any_io_executor executor, Config config, std::function<void()> done)
+Succession::Succession(asio::any_io_executor executor, Config config, std::function<void()> done,
+                       std::function<void()> read_again)
     : executor_(executor),
       config_(std::move(config)),
       done_(std::move(done)),
+      read_again_(std::move(read_again)),
       lock_(config_.state_folder),
       pause_(executor),
       successors_(executor),
@@ -169,7 +171,9 @@
 asio::awaitable<void> Succession::seek() {
   while (!relay_ && !ending_) {
     co_await stand_by();
-    if (relay_ || ending_ || take_office()) co_return;
+    if (relay_ || ending_) co_return;
+    // The file may have been replaced since this process read it, and the other one alone was told.
+    if (take_office()) co_return read_again_();
     pause_.expires_after(kLook);
     co_await pause_.async_wait(kAwait);
   }
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -26,8 +26,10 @@
 
 class Succession {
  public:
-  // `done` is called when the process may go.
-  Succession(boost::asio::any_io_executor executor, Config config, std::function<void()> done);
+  // `done` is called when the process may go, `read_again` when what it has read of its configuration may be
+  // old: it leads to reload().
+  Succession(boost::asio::any_io_executor executor, Config config, std::function<void()> done,
+             std::function<void()> read_again);
 
   void start();
 
@@ -77,7 +79,7 @@
 
   boost::asio::any_io_executor executor_;
   Config config_;
-  std::function<void()> done_;
+  std::function<void()> done_, read_again_;
   std::chrono::steady_clock::time_point started_ = std::chrono::steady_clock::now();
   StateLock lock_;
   std::optional<AdminServer> admin_;
--- a/tests/call_ends_test.cpp
+++ b/tests/call_ends_test.cpp
@@ -208,6 +208,28 @@
   EXPECT_EQ(count_seen("m"), 1U);
 }
 
+// Guards against a configuration that the old process alone was told to read, where the new one serves
+// without having heard of it: it would ask a service that is gone.
+TEST_F(CallEndsTest, TheFileIsReadAgainWhereNoLinkToldOfANewOne) {
+  next_environment_ = {{"LD_PRELOAD", SHIM}, {"SOAK_BROKEN_LINK", broken_in_second_}};
+  add_silent_host("p1", 3, "plain");
+  start_old(6000, 6000);
+  start_next(new_);
+  ASSERT_TRUE(wait_healthy(new_));
+  std::ofstream(broken_in_second_) << "now";
+  call(new_->second_address(), "BANS");  // the reply breaks the link
+  json::object moved = with_aims(moved_config(), note_ms_, refund_ms_);
+  moved["listen"] = address_;
+  moved["admin_addr"] = "127.0.0.1:0";
+  std::ofstream(folder_ / "next.json") << json::serialize(moved);
+  reload(json::serialize(moved));
+  ASSERT_TRUE(wait_asked("moved", "/catalog/members"));
+  watched_.change([this] { asked_.clear(); });
+  process_->signal(SIGTERM);
+  EXPECT_EQ(process_->wait(), 0);
+  EXPECT_TRUE(wait_asked("moved", "/catalog/members"));
+}
+
 // Guards against a record that is lost, or read before it is whole, where a write fails or stops in the
 // middle.
 TEST(CallEndsFileTest, WhatIsTornIsReadOnceItIsWhole) {
