Correct a copied message's time when a quicker word shows what the clock is

What a caller would see: a holder, or an heir, ends a message late by as much as the first word of its connection took.

Cause: a message's time is the owner's clock; a holder translates it by the quickest word of the connection so far, once, as the message comes. Quicker words came with each `renew` and were used for later messages alone.

Mend: what was told stays known by the teller's clock while the message lives, and is translated anew when a word took less by 1 ms or more. It can't come too early: no word takes less than nothing. A new connection begins anew, for the other's clock may be another one.

Forced in virtual time by CopiesEnds.AQuickerWordCorrectsTheTimeThatASlowOneTold: a first word of 150 ms, a second of 2 ms; the time stayed 150 ms late and the notice came 150 ms after the message's time, where 50 are left; now 2 ms late.

--- a/copies/group.cpp
+++ b/copies/group.cpp
@@ -10,6 +10,7 @@
 using namespace std::chrono_literals;
 
 constexpr Time kNever = Time::max();
+constexpr Duration kClockStep = 1ms;  // less is not worth another look at what is held
 
 }  // namespace
 
@@ -96,6 +97,8 @@
 }
 
 void Group::reconnected(Place other) {
+  std::erase_if(told_, [&](const auto& entry) { return entry.second.by == other; });
+  shifts_[other].reset();
   Peer& peer = peers_[other];
   if (!owns_) return;
   for (const auto& [id, item] : durable_.items) {
@@ -111,6 +114,7 @@
 void Group::receive(Time now, const Say& s, Duration shift) {
   if (s.from >= kVoters || s.from == shape_.self) return;
   seen_ = std::max(seen_, s.epoch);
+  correct(s.from, shift);
   switch (s.kind) {
     case Kind::append:
       return on_append(now, s, shift);
@@ -200,6 +204,20 @@
   if (owns_ && s.epoch > durable_.promised) step_down();
 }
 
+// A word that took long has a time come late by here. One that took less shows it, and no word can show it
+// too early.
+void Group::correct(Place from, Duration shift) {
+  std::optional<Duration>& used = shifts_[from];
+  if (used && *used < shift + kClockStep) return;
+  used = shift;
+  for (const auto& [id, told] : told_) {
+    Item& item = durable_.items.at(id);
+    if (told.by != from || item.until <= told.until + shift) continue;
+    item.until = told.until + shift;
+    changed_.items.push_back(id);
+  }
+}
+
 // Each state of an item holds all that those before it held, so the newest is all that is known.
 void Group::merge(const Say& s, Duration shift) {
   for (const auto& [id, told] : s.items) {
@@ -214,6 +232,7 @@
     }
     if (!item.payload) item.payload = own ? own->payload : told.payload;
     if (body) item.payload = told.payload;
+    if (newer) told_.insert_or_assign(id, Told{s.from, told.until});
     store(id, std::move(item));
   }
 }
@@ -224,6 +243,7 @@
   if (!added && at->second.live()) --live_;
   at->second = std::move(item);
   live_ += at->second.live() ? 1 : 0;
+  if (!at->second.live()) told_.erase(id);
   changed_.items.push_back(id);
 }
 
@@ -294,6 +314,7 @@
       p.unsent.erase(at->first);
       p.acked.erase(at->first);
     }
+    told_.erase(at->first);
     at = durable_.items.erase(at);
   }
 }
--- a/copies/group.h
+++ b/copies/group.h
@@ -79,7 +79,8 @@
   void wake(Time now);
   // What has changed since goes to the others; with nothing to send, nothing.
   void flush(Time now);
-  // What `other` has not acknowledged may be lost with its connection.
+  // What `other` has not acknowledged may be lost with its connection. Its clock may be another one from now
+  // on.
   void reconnected(Place other);
   Time next_wake() const;
 
@@ -133,6 +134,7 @@
   void on_vote(Time now, const Say& say, Duration shift);
   void on_refuse(const Say& say);
   void merge(const Say& say, Duration shift);
+  void correct(Place from, Duration shift);
   void store(const std::string& id, Item item);
   void step_down();
   void promise(std::uint64_t epoch, Place owner);
@@ -149,6 +151,12 @@
   Time bound_until_{};       // by the promise to the owner
   Time ask_at_{};            // not before
   std::size_t live_ = 0;
+  struct Told {
+    Place by = 0;
+    Time until{};  // on that one's clock
+  };
+  std::map<std::string, Told, std::less<>> told_;        // of what is held for others
+  std::array<std::optional<Duration>, kVoters> shifts_;  // that times were translated with
   std::array<Peer, kVoters> peers_;
   std::vector<std::pair<Place, Say>> out_;
   Changed changed_;
--- a/tests/copies_ends_test.cpp
+++ b/tests/copies_ends_test.cpp
@@ -103,6 +103,19 @@
   }
 }
 
+// The first word of a connection was held up, and a message's time was late by as much for good, for the
+// notice and for an heir.
+TEST(CopiesEnds, AQuickerWordCorrectsTheTimeThatASlowOneTold) {
+  Holder h(1);
+  const Time until = h.now() + 1s;
+  h.hear({{"a", Holder::lasting(until)}}, kPageHoldUp);
+  EXPECT_EQ(h.copies().look("a")->until, until + kPageHoldUp);
+  h.run(h.now() + 250ms);
+  h.hear({}, 2ms);
+  EXPECT_EQ(h.copies().look("a")->until, until + 2ms);
+  EXPECT_LE(h.run(until + kPageOwed).at("a"), until + kClockError + kLeftToOwner);
+}
+
 // An owner that is heard ends its messages itself, also where it is a little late: the holders' notices would
 // come to as many as its own.
 TEST(CopiesEnds, AnOwnerThatIsHeardIsLeftAloneAsLongAsTheBoundAllows) {
