Wait for the first call of an id before its calls are counted in a test

Cause: RelayTest.AnIdInUseIsRefusedForAnotherMessage counted the calls of x1 behind a marker message, whose call may come to the host before that of x1 on another connection. The check is as strict: one call of x1 has to come, and not a second one.

--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -735,6 +735,7 @@
   EXPECT_EQ(ask(address_, other).result_int(), 409U);
   EXPECT_EQ(hand_in("x1", "receipt", 2), 202U) << "the same request once more";
   watched_.change([&] { released_ = true; });
+  EXPECT_TRUE(wait_seen("x1"));
   pass_marker("x2", 2);
   EXPECT_EQ(count_seen("x1"), 1U);
 }
