--- a/copies/ends.h
+++ b/copies/ends.h
@@ -2,16 +2,17 @@
 // owner.
 //
 // A notice is owed kNoticeOwed after a message's time, and each holder keeps that by itself: it can't know
-// that the other one lives, nor what that one has told. Two notices of one message do no harm. Of the time
-// that is owed,
+// whether the other one lives, nor what that one has told. Two notices of one message do no harm. These add
+// up to what is owed:
 //
-//   kClockError    the message's time may be late by here: a copy's clock is told by the quickest word
-//   kLeftToOwner   a holder waits for an owner that it hears
-//   kLongestHoldUp it may be held up for, once, anywhere on this way
-//   kNoticeTakes   its notice takes: a first try without an answer (a quarter of what NoticeSender counts
-//                  with), the pause, and a second one
+//   kClockError     by which a message's time may be late here: it is the owner's, translated by the quickest
+//                   word of the connection
+//   kLeftToOwner    that a holder waits for an owner that it hears
+//   kLongestHoldUp  that a relay may be held up for, once, anywhere on this way
+//   kNoticeTakes    that its notice takes: a try that gets no answer, the pause behind it, and the next one
+//                   (NoticeSender)
 //
-// are 300 ms together. An owner that has said nothing for longer than it may be silent is not waited for.
+// An owner that has been silent for longer than one that runs would be is not waited for.
 #pragma once
 
 #include <map>
