Give a holder's notice the time that is left until it is owed, and add its sum to the budgets

A holder's notice went to the sender without the time by which it is owed: its first try was given 62 ms, as that of a notice with all of its 300 ms. With the holder's wait, a hold-up, that try, its pause and the next one's way (50 ms) these are over 300; and a copied message's time is known to its owner to a tick of the kernel's timer (10 ms), which was in no sum.

Now `expired` tells the sender when it is owed, so that tries are short where little is left; the tick is in kClockError (20 ms), and an owner that is heard is left alone for 30 ms. That a notice is handed over with its time is not forced by a test of its own.

--- a/copies/ends.h
+++ b/copies/ends.h
@@ -6,11 +6,11 @@
 // up to what is owed:
 //
 //   kClockError     by which a message's time may be late here: it is the owner's, translated by the quickest
-//                   word of the connection
+//                   word of the connection, and that one knows it to a tick of the kernel's timer
 //   kLeftToOwner    that a holder waits for an owner that it hears
 //   kLongestHoldUp  that a relay may be held up for, once, anywhere on this way
-//   kNoticeTakes    that its notice takes: a try that gets no answer, the pause behind it, and the next one
-//                   (NoticeSender)
+//   kNoticeTakes    that its notice takes: a try that gets no answer, the pause behind it, and the next one's
+//                   way (NoticeSender, where so little time is left)
 //
 // An owner that has been silent for longer than one that runs would be is not waited for.
 #pragma once
@@ -27,7 +27,7 @@
 inline constexpr Duration kNoticeOwed = std::chrono::milliseconds(300);
 inline constexpr Duration kLongestHoldUp = std::chrono::milliseconds(150);
 inline constexpr Duration kNoticeTakes = std::chrono::milliseconds(100);
-inline constexpr Duration kClockError = std::chrono::milliseconds(10);
+inline constexpr Duration kClockError = std::chrono::milliseconds(20);
 inline constexpr Duration kLeftToOwner = kNoticeOwed - kLongestHoldUp - kNoticeTakes - kClockError;
 
 // The messages of one group that have no end yet, by their time. Each comes out once.
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -3,6 +3,7 @@
 #include <iostream>
 #include <utility>
 
+#include "budgets.h"
 #include "relay.h"
 
 namespace myrtlegrade {
@@ -275,6 +276,8 @@
   if (own != ids_.end() && !open_.at(own->second).over) return;  // the module ends it
   waiting_.erase(over.id);
   Notice notice{over.id, over.notice.handed_back, whole_ms(over.notice.retry_in)};
+  if (const copies::Item* item = copies_->copies().look(over.id))
+    notice.owed_by = from_copies(item->until).steady + budgets::kNoticeOwed;
   journal_.end_owing(notice);
   journal_.flush();
   discovery_.send(std::move(notice));
--- a/tests/budgets_test.cpp
+++ b/tests/budgets_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include "copies/ends.h"
+
 namespace myrtlegrade::test {
 namespace {
 
@@ -22,10 +24,13 @@
   const Ms late = kKernelTick + kTick;  // the end of a message's time, as the relay finds it
   const Ms notice = kHoldUp + kLostTry + kNoticeWay;
   const Ms handed_back = kNoticeOwed - kKeptForNotice;  // from the end of its time to its telling
+  namespace copies = valedrum::copies;
+  const Ms holder = kHoldUp + kShortestTry + kLongestPause + kNoticeWay;  // little is left: a short try
   const Row rows[] = {
       {"answer", kHoldUp + kTick + kKernelTick, kAnswerOwed},
       {"final answer", kHoldUp + late, kAnswerLate},
       {"notice", late + notice, kNoticeOwed},
+      {"holder's notice", copies::kClockError + copies::kLeftToOwner + holder, kNoticeOwed},
       {"hand-back", handed_back + kKernelTick + notice, kNoticeOwed},
       {"told wait", kHoldUp, kToldTooLate + kSlack},
       {"notices that a start finds", notice, kStartOwed},
