Keep what is told of a call while its message waits to be taken up

With copies on, a process that has taken over keeps a message waiting until it has won the others' word that it is still its own to end. What the earlier process told of its call meanwhile, over the link or in its file of calls, found no message and was dropped; its end only forgot the call. A delivered message was then told as given up, or called again.

Now the call of a waiting message keeps its outcome and its end. A call that is still out as the message ends elsewhere keeps its slot. An upgrade while it waits hands both on: the calls of waiting messages were not handed over at all. The memory of an end is not shortened, nor its content replaced, by a later delivery of an earlier process's call; one that was to be inherited later is over by it.

Evidence: three relays, both holders stopped across the hand-over.

--- a/relay/frames.cpp
+++ b/relay/frames.cpp
@@ -55,6 +55,10 @@
         .text(c.host)
         .text(c.zone);
     out.number(c.call).time(c.sent).flag(c.over);
+    out.flag(c.told.has_value());
+    if (c.told) write_result(out, *c.told);
+    out.flag(c.ended.has_value());
+    if (c.ended) out.number(static_cast<std::uint64_t>(*c.ended));
   }
   return out;
 }
@@ -128,6 +132,8 @@
     c.call = in.number();
     c.sent = in.time<WallTime>();
     c.over = in.flag();
+    if (in.flag()) c.told = read_result(in);
+    if (in.flag()) c.ended = static_cast<CallEnd>(in.number());
   }
   if (!in.good) return std::nullopt;
   return all;
--- a/relay/frames.h
+++ b/relay/frames.h
@@ -51,6 +51,9 @@
   std::uint64_t call = 0;  // equal for those that travel together
   WallTime sent{};
   bool over = false;  // the message has its final answer
+  // Of a message that waits to be taken up: what was told of it meanwhile.
+  std::optional<CallResult> told{};
+  std::optional<CallEnd> ended{};
 };
 
 // What the journal does not tell.
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -180,8 +180,7 @@
                       "over", result.over, "elapsed_ms", whole_ms(result.elapsed).count(), "wait_ms",
                       whole_ms(result.wait).count());
   if (result.result == Result::delivered && !open.over) ++counters_.delivered;
-  if (result.result == Result::delivered && open.over)
-    journal_.remember(open.payload->id, ended(open, Ended::Told::taken));
+  if (result.result == Result::delivered && open.over) remember_delivered(open);
   if (successor_) {
     if (out && !out->elsewhere)
       owners_.tell(CallRecord::of_outcome(out->call, open.payload->id, item.attempt, result));
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -141,6 +141,7 @@
   Answer answer_of(const Open& withdrawn, const HandIn& message);
   Ended ended(const Open& open, Ended::Told told, std::chrono::milliseconds retry_in = {}) const;
   void end_withdrawn(const Open& open);
+  void remember_delivered(const Open& over);
   struct DecidedCall {
     std::uint64_t number = 0;
     vetchhinge::HostId host{};
@@ -235,6 +236,14 @@
   void expired(const valedrum::copies::Expired& expired);
   void settle_pending();
 
+  // ------------------------------------------------------------------ relay_waiting.cpp
+  void told_of_waiting(const std::string& id, std::uint32_t attempt, const CallResult& result);
+  void call_of_waiting_over(std::uint64_t call, CallEnd end);
+  void owner_of_waiting_gone(const std::string& owner);
+  void apply_told(const OutCall& out);
+  bool ends_delivered(const std::string& id);
+  void end_waiting(const std::string& id);
+
   boost::asio::any_io_executor executor_;
   Config config_;
   std::shared_ptr<CopyNet> copies_;                                    // where copies are configured
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -191,7 +191,10 @@
   if (const auto* lost = std::get_if<copies::Lost>(&event)) return give_up(lost->id);
   if (const auto* over = std::get_if<copies::Expired>(&event)) return expired(*over);
   if (const auto* ended = std::get_if<copies::Ended>(&event)) {
-    if (waiting_.erase(ended->id) > 0) journal_.end(ended->id);
+    if (waiting_.contains(ended->id)) {
+      journal_.end(ended->id);
+      end_waiting(ended->id);
+    }
   }
 }
 
@@ -222,6 +225,7 @@
       inherited_later_.insert_or_assign(id, inherited);  // its own calls are still out
     return;
   }
+  if (ends_delivered(id)) return;
   auto found = waiting_.extract(id);
   if (!item.payload || !config_.dialect.classes.find(item.payload->cls)) {
     const Notice notice{id, false, {}};
@@ -250,6 +254,7 @@
     journal_.flush();
   }
   take_up(stored, out ? &*out : nullptr, inherited.astray);
+  if (out) apply_told(*out);
   schedule();
 }
 
@@ -274,7 +279,8 @@
 void Relay::expired(const copies::Expired& over) {
   const auto own = ids_.find(over.id);
   if (own != ids_.end() && !open_.at(own->second).over) return;  // the module ends it
-  waiting_.erase(over.id);
+  if (ends_delivered(over.id)) return;
+  end_waiting(over.id);
   Notice notice{over.id, over.notice.handed_back, whole_ms(over.notice.retry_in)};
   if (const copies::Item* item = copies_->copies().look(over.id))
     notice.owed_by = from_copies(item->until).steady + budgets::kNoticeOwed;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -68,6 +68,9 @@
                      out.call, out.sent.wall, open.over});
     }
   }
+  for (const auto& [id, waiting] : waiting_) {
+    if (waiting.out) all.push_back(*waiting.out);
+  }
   return all;
 }
 
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -63,6 +63,7 @@
     } else {
       if (copies_) copies_->copies().keep_alone(stored.id);
       take_up(stored, call);
+      if (call) apply_told(*call);
     }
   }
   step();
@@ -165,7 +166,7 @@
 
 void Relay::reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result) {
   const auto found = ids_.find(id);
-  if (found == ids_.end()) return;
+  if (found == ids_.end()) return told_of_waiting(id, attempt, result);
   Out* const out = find_out(open_.at(found->second), attempt);
   if (!out || !out->elsewhere || out->reported) return;
   const bool final = result.over || result.result == Result::delivered;
@@ -180,9 +181,7 @@
 }
 
 void Relay::call_over_elsewhere(std::uint64_t number, CallEnd end) {
-  for (auto& [id, waiting] : waiting_) {
-    if (waiting.out && waiting.out->call == number) waiting.out.reset();
-  }
+  call_of_waiting_over(number, end);
   const auto call = calls_.find(number);
   if (call == calls_.end() || !call->second.elsewhere) return;
   for (const MessageId id : std::vector(call->second.messages)) {
@@ -203,7 +202,7 @@
   if (call != calls_.end() && call->second.elsewhere && call->second.owner == owner) return true;
   return std::ranges::any_of(waiting_, [&](const auto& entry) {
     const auto& out = entry.second.out;
-    return out && out->owner == owner && out->call == number;
+    return out && !out->ended && out->owner == owner && out->call == number;
   });
 }
 
@@ -218,6 +217,7 @@
 
 // Its connections are closed. Nothing tells what became of the calls that are left.
 void Relay::owner_gone(const std::string& owner) {
+  owner_of_waiting_gone(owner);
   std::vector<std::uint64_t> left;
   for (const auto& [number, call] : calls_) {
     if (call.elsewhere && call.owner == owner) left.push_back(number);
--- a/relay/relay_same_request.cpp
+++ b/relay/relay_same_request.cpp
@@ -75,6 +75,17 @@
           last + kComesAgainWithin};
 }
 
+// After its end: what is remembered of that is more than what is known of a call of an earlier process.
+void Relay::remember_delivered(const Open& over) {
+  const std::string& id = over.payload->id;
+  const Ended* const before = journal_.ended(id);
+  Ended known = before ? *before : ended(over, Ended::Told::taken);
+  known.told = Ended::Told::taken;
+  journal_.remember(id, known);
+  // Another gave it back to this relay meanwhile: there is nothing left to do.
+  if (copies_ && inherited_later_.erase(id) > 0) copies_->copies().over(CopyNet::now(), id);
+}
+
 // Its client did not hear of it. Only what may have run and must not run twice is more than never handed in.
 void Relay::end_withdrawn(const Open& open) {
   const auto cls = config_.dialect.classes.find(open.cls);
--- /dev/null
+++ b/tests/copies_upgrade_test.cpp
@@ -0,0 +1,160 @@
+// A relay that makes copies is upgraded with a call out, and its new process has to wait for the others: what
+// the call brings meanwhile is not lost.
+#include <unistd.h>
+
+#include <array>
+
+#include "handover_fixture.h"
+
+namespace myrtlegrade::test {
+namespace {
+
+constexpr auto kEndsWithin = 150ms;  // 100 ms, on sockets 50 ms longer (PROTOCOL)
+constexpr auto kRest = 100ms;        // behind an attempt that failed
+constexpr auto kWaits = 2 * kLongestHoldUp;
+
+class CopiesUpgradeTest : public HandoverTest {
+ protected:
+  static std::string at(int relay, const char* port) {
+    const int own = ::getpid();
+    return "127." + std::to_string(128 + (own >> 8) % 64) + '.' + std::to_string(own & 255) + '.' +
+           std::to_string(relay + 1) + ':' + port;
+  }
+
+  void begin(std::optional<Process>& process, int n, const std::string& listen) {
+    const std::string name = "n" + std::to_string(n);
+    json::object c = with_aims(with_second_address(), 6000, 6000);
+    c["name"] = name;
+    c["listen"] = listen;
+    c["fleet"] = json::object{{"name", "f"},     {"bind", at(n, "7300")},
+                              {"machine", name}, {"seeds", {at(0, "7300"), at(1, "7300")}},
+                              {"probe_ms", 250}, {"ack_ms", 100}};
+    c["copies"] = json::object{{"bind", at(n, "7301")}};
+    const fs::path file = folder_ / (name + ".json"), state = folder_ / ("state-" + name);
+    fs::create_directories(state);
+    std::ofstream(file) << json::serialize(c);
+    process.emplace(PROGRAM,
+                    std::map<std::string, std::string>{{"PROXY_CONFIG", file}, {"PROXY_STATE", state}});
+  }
+
+  bool wait_copied() {
+    const auto limit = SteadyClock::now() + 20s;
+    for (int i = 0; SteadyClock::now() < limit; ++i) {
+      if (hand_in("warm-" + std::to_string(i), "note", 2) == 202U) return true;
+      std::this_thread::sleep_for(50ms);
+    }
+    return false;
+  }
+
+  // The first call of `m` is the test's to end, later ones are answered at once.
+  void add_held_host() {
+    add_host("p", 3, "plain", [this](tcp::socket& socket, Request& request) {
+      bool first = false;
+      watched_.change([&] { first = !std::exchange(came_, true); });
+      if (!first) return kAccept(socket, request);
+      watched_.wait([this] { return over_ || delivers_.has_value(); });
+      if (watched_.read([this] { return delivers_ == true; })) kAccept(socket, request);
+      boost::system::error_code ignored;
+      socket.shutdown(tcp::socket::shutdown_both, ignored);
+      return false;
+    });
+  }
+
+  void signal_holders(int number) {
+    for (auto& holder : holders_) holder->signal(number);
+  }
+
+  // Both holders are stopped before the hand-over, so the new process has nobody to ask.
+  void upgrade_with_holders_stopped(const std::string& cls) {
+    add_host("h", 2, "plain", kAccept);
+    add_held_host();
+    begin(process_, 0, "127.0.0.1:0");
+    address_ = process_->address();
+    for (int n = 1; n < 3; ++n) begin(holders_[static_cast<std::size_t>(n - 1)], n, "127.0.0.1:0");
+    ASSERT_TRUE(wait_copied());
+    ASSERT_EQ(hand_in("m", cls, 3), 202U);
+    ASSERT_TRUE(wait_seen("m"));
+    begin(new_, 0, address_);
+    ASSERT_TRUE(wait_healthy(new_));
+    signal_holders(SIGSTOP);
+    take_over(process_, new_);
+  }
+
+  static void take_over(std::optional<Process>& from, std::optional<Process>& to) {
+    from->signal(SIGTERM);
+    ASSERT_TRUE(wait_log(to, "took over"));
+  }
+
+  void end_call(bool delivers) {
+    watched_.change([&] { delivers_ = delivers; });
+  }
+
+  void expect_delivered_once() {
+    std::this_thread::sleep_for(kWaits);
+    signal_holders(SIGCONT);
+    std::this_thread::sleep_for(2s);  // longer than others may act instead
+    EXPECT_EQ(count_seen("m"), 1U);
+    EXPECT_EQ(watched_.read([this] { return notices_.contains("m") ? notices_.at("m") : ""; }), "");
+    EXPECT_EQ(hand_in("m", sent_as_, 3), 202U) << "known as taken";
+    EXPECT_EQ(count_seen("m"), 1U);
+  }
+
+  std::optional<bool> delivers_;
+  bool came_ = false;
+  std::string sent_as_;
+  std::array<std::optional<Process>, 2> holders_;
+};
+
+// Guards against a delivery that is told as given up, or called again, since nobody kept its outcome.
+TEST_F(CopiesUpgradeTest, ADeliveryThatIsToldWhileTheMessageWaitsCounts) {
+  sent_as_ = "refund";
+  upgrade_with_holders_stopped(sent_as_);
+  end_call(true);
+  expect_delivered_once();
+}
+
+TEST_F(CopiesUpgradeTest, ADeliveryThatIsToldWhileARepeatableMessageWaitsCounts) {
+  sent_as_ = "note";
+  upgrade_with_holders_stopped(sent_as_);
+  end_call(true);
+  expect_delivered_once();
+}
+
+// Guards against an outcome that the second process kept, and the third never heard of.
+TEST_F(CopiesUpgradeTest, ADeliveryCountsThoughTheMessageWaitsInAThirdProcess) {
+  sent_as_ = "refund";
+  upgrade_with_holders_stopped(sent_as_);
+  end_call(true);
+  EXPECT_EQ(process_->wait(), 0);
+  begin(third_, 0, address_);
+  ASSERT_TRUE(wait_healthy(third_));
+  take_over(new_, third_);
+  expect_delivered_once();
+}
+
+// Guards against an end that is lost: the notice or the repeat would wait for all earlier processes.
+TEST_F(CopiesUpgradeTest, AFailureThatIsToldWhileTheMessageWaitsIsToldInTime) {
+  upgrade_with_holders_stopped("refund");
+  end_call(false);
+  std::this_thread::sleep_for(kWaits);
+  signal_holders(SIGCONT);
+  ASSERT_TRUE(wait_log(new_, "acts on the messages"));
+  const auto known = SteadyClock::now();
+  ASSERT_TRUE(wait_notice("m", "given_up"));
+  EXPECT_LT(SteadyClock::now() - known, kEndsWithin);
+  EXPECT_EQ(count_seen("m"), 1U);
+}
+
+TEST_F(CopiesUpgradeTest, AFailureThatIsToldWhileTheMessageWaitsIsRepeatedInTime) {
+  upgrade_with_holders_stopped("note");
+  end_call(false);
+  std::this_thread::sleep_for(kWaits);
+  signal_holders(SIGCONT);
+  ASSERT_TRUE(wait_log(new_, "acts on the messages"));
+  const auto known = SteadyClock::now();
+  ASSERT_TRUE(wait_seen("m", 2));
+  EXPECT_LT(SteadyClock::now() - known, kEndsWithin + kRest);
+}
+
+}  // namespace
+}  // namespace myrtlegrade::test
