--- a/relay/journal.cpp
+++ b/relay/journal.cpp
@@ -205,9 +205,11 @@
     remember(n.message, *ended);
   }
   const std::string record = out.record();
+  const auto found = index_.find(n.message);
+  const bool written = found != index_.end() && live_.at(found->second).written;
   forget(n.message);
   append(n.message, record);
-  add_live(n.message, {record, record.size()});
+  add_live(n.message, {record, record.size(), 0, written});
 }
 
 void Journal::notice_settled(const std::string& id) {
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -163,7 +163,8 @@
   if (found == ids_.end()) return;
   const MessageId message = found->second;
   Open& open = open_.at(message);
-  if (open.over || --open.listeners > 0) return;
+  // One that ends is told by its notice, which does no harm.
+  if (open.over || open.ending || --open.listeners > 0) return;
   MessageTrace::event(id, "withdrawn");
   end_withdrawn(open);
   if (copies_) copies_->copies().over(CopyNet::now(), id);
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -266,6 +266,7 @@
   Open& open = open_.at(found->second);
   if (open.over) return;
   const MessageId message = found->second;
+  std::erase_if(untold_ends_, [message](const UntoldEnd& end) { return end.message == message; });
   if (open.respond) {  // not promised to its client yet: it may come again
     journal_.end(id);
     std::exchange(open.respond, nullptr)({Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)});
--- a/relay/relay_journal.cpp
+++ b/relay/relay_journal.cpp
@@ -83,7 +83,9 @@
     }
     if (end.notice.handed_back && !kept) {
       end.notice.handed_back = false;
-      journal_.remember(end.notice.message, ended(open_.at(end.message), Ended::Told::failed));
+      const auto open = open_.find(end.message);
+      if (open != open_.end())
+        journal_.remember(end.notice.message, ended(open->second, Ended::Told::failed));
     }
     tell(std::move(end.notice));
     close_message(end.message);
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -138,6 +138,7 @@
   open.destination = out.destination;
   open.attempts = out.attempt + 1;
   open.over = true;
+  open.content_known = false;
   ids_.emplace(out.message, id);
   endpoints_.wake(out.destination, events_);
   vetchhinge::Message message{id, *cls, vetchhinge::DestinationId(out.destination), now(), {}, {}, {}};
--- a/relay/relay_same_request.cpp
+++ b/relay/relay_same_request.cpp
@@ -61,7 +61,7 @@
 
 // Withdrawn, and nothing of it is remembered but that a call may still come up, on which it can't leave.
 Answer Relay::answer_of(const Open& open, const HandIn& message) {
-  if (!open.is(message)) return {Answer::Kind::other_content};
+  if (open.content_known && !open.is(message)) return {Answer::Kind::other_content};
   const bool harmless = !records_at_decision() && !open.ending && flush_journal();
   if (!harmless) return {Answer::Kind::failed};
   return {Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)};
@@ -79,6 +79,7 @@
 void Relay::remember_delivered(const Open& over) {
   const std::string& id = over.payload->id;
   const Ended* const before = journal_.ended(id);
+  if (!before && !over.content_known) return;
   Ended known = before ? *before : ended(over, Ended::Told::taken);
   known.told = Ended::Told::taken;
   journal_.remember(id, known);
--- a/tests/journal_test.cpp
+++ b/tests/journal_test.cpp
@@ -124,6 +124,21 @@
   EXPECT_EQ(view_journal(folder_).format, kJournalFormat);
 }
 
+// Guards against an end that a flush has kept and a start does not find: the file had the message, and its
+// hand-back had not reached it.
+TEST_F(JournalTest, AnEndBehindAHandBackThatWasNotWrittenIsKept) {
+  {
+    Journal journal(folder_, 1'000'000);
+    journal.accept(message("a"));
+    ASSERT_TRUE(journal.flush());
+    journal.end_owing({"a", true, {}});
+    EXPECT_TRUE(journal.may_be_found("a"));
+    journal.end("a");
+    ASSERT_TRUE(journal.flush());
+  }
+  EXPECT_TRUE(Journal(folder_, 1'000'000).take_messages().empty());
+}
+
 // Guards against a compaction that forgets what has ended, so that the same request runs again after a
 // restart.
 TEST_F(JournalTest, EndsAreRememberedOverACompactionAndAStart) {
