Force a waiting message's failed call behind unknown calls, and its end while it waits

Now calls of a stopped first process are out that the last ones know nothing of: an end that is lost would hold the message back until that process has gone. They check all that they did before. New: a delivered message whose time runs out while it waits is told to nobody.

--- a/tests/copies_upgrade_test.cpp
+++ b/tests/copies_upgrade_test.cpp
@@ -64,20 +64,50 @@
     for (auto& holder : holders_) holder->signal(number);
   }
 
-  // Both holders are stopped before the hand-over, so the new process has nobody to ask.
-  void upgrade_with_holders_stopped(const std::string& cls) {
+  void start_all() {
     add_host("h", 2, "plain", kAccept);
     add_held_host();
     begin(process_, 0, "127.0.0.1:0");
     address_ = process_->address();
     for (int n = 1; n < 3; ++n) begin(holders_[static_cast<std::size_t>(n - 1)], n, "127.0.0.1:0");
     ASSERT_TRUE(wait_copied());
-    ASSERT_EQ(hand_in("m", cls, 3), 202U);
+  }
+
+  // Both holders are stopped before the hand-over, so the new process has nobody to ask.
+  void upgrade_with_holders_stopped(const std::string& cls, std::optional<Process>& from,
+                                    std::chrono::milliseconds lasts = 20s) {
+    const Request request = with_time(message("m", cls, 3), static_cast<int>(lasts.count()));
+    ASSERT_EQ(ask(address_, request).result_int(), 202U);
     ASSERT_TRUE(wait_seen("m"));
+    begin(last_, 0, address_);
+    ASSERT_TRUE(wait_healthy(last_));
+    signal_holders(SIGSTOP);
+    take_over(from, last_);
+  }
+
+  // Calls of a first process may be out that the last ones know nothing of: it is stopped, and the one that
+  // knew them is killed.
+  void upgrade_with_unknown_calls(const std::string& cls) {
+    add_silent_host("silent", 4, "plain");
+    start_all();
+    ASSERT_EQ(hand_in("stays", "note", 4), 202U);
+    ASSERT_TRUE(wait_seen("stays"));
     begin(new_, 0, address_);
     ASSERT_TRUE(wait_healthy(new_));
-    signal_holders(SIGSTOP);
     take_over(process_, new_);
+    process_->signal(SIGSTOP);
+    EXPECT_EQ(end(new_, SIGKILL), 128 + SIGKILL);
+    begin(third_, 0, address_);
+    ASSERT_TRUE(wait_copied());
+    upgrade_with_holders_stopped(cls, third_);
+  }
+
+  SteadyClock::time_point fail_call_while_waiting() {
+    end_call(false);
+    std::this_thread::sleep_for(kWaits);
+    signal_holders(SIGCONT);
+    EXPECT_TRUE(wait_log(last_, "acts on the messages"));
+    return SteadyClock::now();
   }
 
   static void take_over(std::optional<Process>& from, std::optional<Process>& to) {
@@ -103,19 +133,22 @@
   bool came_ = false;
   std::string sent_as_;
   std::array<std::optional<Process>, 2> holders_;
+  std::optional<Process> last_;
 };
 
 // Guards against a delivery that is told as given up, or called again, since nobody kept its outcome.
 TEST_F(CopiesUpgradeTest, ADeliveryThatIsToldWhileTheMessageWaitsCounts) {
   sent_as_ = "refund";
-  upgrade_with_holders_stopped(sent_as_);
+  start_all();
+  upgrade_with_holders_stopped(sent_as_, process_);
   end_call(true);
   expect_delivered_once();
 }
 
 TEST_F(CopiesUpgradeTest, ADeliveryThatIsToldWhileARepeatableMessageWaitsCounts) {
   sent_as_ = "note";
-  upgrade_with_holders_stopped(sent_as_);
+  start_all();
+  upgrade_with_holders_stopped(sent_as_, process_);
   end_call(true);
   expect_delivered_once();
 }
@@ -123,35 +156,39 @@
 // Guards against an outcome that the second process kept, and the third never heard of.
 TEST_F(CopiesUpgradeTest, ADeliveryCountsThoughTheMessageWaitsInAThirdProcess) {
   sent_as_ = "refund";
-  upgrade_with_holders_stopped(sent_as_);
+  start_all();
+  upgrade_with_holders_stopped(sent_as_, process_);
   end_call(true);
   EXPECT_EQ(process_->wait(), 0);
   begin(third_, 0, address_);
   ASSERT_TRUE(wait_healthy(third_));
-  take_over(new_, third_);
+  take_over(last_, third_);
   expect_delivered_once();
 }
 
+// Guards against a notice for a delivered message, since its time ran out before anybody could be asked.
+TEST_F(CopiesUpgradeTest, ADeliveryCountsThoughTheMessageWaitsToItsEnd) {
+  constexpr auto kLasts = 1500ms, kOwed = 300ms;
+  start_all();
+  upgrade_with_holders_stopped("refund", process_, kLasts);
+  end_call(true);
+  std::this_thread::sleep_for(kLasts + kOwed + kLongestHoldUp);
+  EXPECT_FALSE(watched_.read([this] { return notices_.contains("m"); }));
+  EXPECT_EQ(count_seen("m"), 1U);
+}
+
 // Guards against an end that is lost: the notice or the repeat would wait for all earlier processes.
 TEST_F(CopiesUpgradeTest, AFailureThatIsToldWhileTheMessageWaitsIsToldInTime) {
-  upgrade_with_holders_stopped("refund");
-  end_call(false);
-  std::this_thread::sleep_for(kWaits);
-  signal_holders(SIGCONT);
-  ASSERT_TRUE(wait_log(new_, "acts on the messages"));
-  const auto known = SteadyClock::now();
+  upgrade_with_unknown_calls("refund");
+  const auto known = fail_call_while_waiting();
   ASSERT_TRUE(wait_notice("m", "given_up"));
   EXPECT_LT(SteadyClock::now() - known, kEndsWithin);
   EXPECT_EQ(count_seen("m"), 1U);
 }
 
 TEST_F(CopiesUpgradeTest, AFailureThatIsToldWhileTheMessageWaitsIsRepeatedInTime) {
-  upgrade_with_holders_stopped("note");
-  end_call(false);
-  std::this_thread::sleep_for(kWaits);
-  signal_holders(SIGCONT);
-  ASSERT_TRUE(wait_log(new_, "acts on the messages"));
-  const auto known = SteadyClock::now();
+  upgrade_with_unknown_calls("note");
+  const auto known = fail_call_while_waiting();
   ASSERT_TRUE(wait_seen("m", 2));
   EXPECT_LT(SteadyClock::now() - known, kEndsWithin + kRest);
 }
