Believe what a relay's words tell of its clock for seconds, not for as long as its connection lasts

What callers would see, with copies on: a holder whose clock runs faster than the owner's ends messages of a healthy owner before their time: given up while the call is out and may be delivered.

Cause: the least that any word of a connection took was kept for good, and is too little once the clocks have run apart.

Mend: the least of the last 5 to 10 s (ClockOffset); a shift that grows is used for what is told from then on.

Not mended: words of an earlier connection that are read after a new one has come up are counted with it.

--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -364,11 +364,9 @@
       return full;
     });
   }
-  // The quickest word of this connection tells best what the other's clock shows.
-  const auto [offset, first] = offsets_.try_emplace(from, now - word.say.at);
-  offset->second = std::min(offset->second, now - word.say.at);
+  const Duration offset = offsets_[from].heard(now, now - word.say.at);
   if (!say.items.empty()) look_at_ = std::min(look_at_, now + kLook);
-  held.group.receive(now, say, offset->second);
+  held.group.receive(now, say, offset);
   settle(at);
 }
 
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -24,6 +24,7 @@
 #include <variant>
 #include <vector>
 
+#include "copies/clock_offset.h"
 #include "copies/codec.h"
 #include "copies/ends.h"
 
@@ -207,8 +208,7 @@
   std::mt19937_64 engine_;
   std::vector<Candidate> candidates_;
   std::map<std::string, Time, std::less<>> avoided_;
-  std::map<std::string, Duration, std::less<>>
-      offsets_;  // least of what words of a connection took, by both clocks
+  std::map<std::string, ClockOffset, std::less<>> offsets_;  // of a connection
   Groups groups_;
   std::vector<std::optional<GroupId>> current_;  // by shard
   std::map<std::string, GroupId, std::less<>> where_;
--- a/copies/group.cpp
+++ b/copies/group.cpp
@@ -204,12 +204,13 @@
   if (owns_ && s.epoch > durable_.promised) step_down();
 }
 
-// A word that took long has a time come late by here. One that took less shows it, and no word can show it
-// too early.
+// A word that took long has a time come late by here. One that took less shows it. A shift that grows is that
+// of clocks that run apart: it is for what is told from now on.
 void Group::correct(Place from, Duration shift) {
   std::optional<Duration>& used = shifts_[from];
-  if (used && *used < shift + kClockStep) return;
-  used = shift;
+  const bool less = !used || shift + kClockStep <= *used;
+  if (less || shift > *used) used = shift;
+  if (!less) return;
   for (const auto& [id, told] : told_) {
     Item& item = durable_.items.at(id);
     if (told.by != from || item.until <= told.until + shift) continue;
--- a/tests/copies_ends_test.cpp
+++ b/tests/copies_ends_test.cpp
@@ -116,6 +116,25 @@
   EXPECT_LE(h.run(until + kPageOwed).at("a"), until + kClockError + kLeftToOwner);
 }
 
+// The least that any word of a connection took was believed for as long as it lasted: where the holder's
+// clock ran faster, it ended messages of a healthy owner before their time.
+TEST(CopiesEnds, ClocksThatRunApartEndNoMessageBeforeItsTime) {
+  constexpr Duration kRenew = 250ms, kWay = 1ms;
+  constexpr std::int64_t kApart = 10'000;  // 100 millionths
+  Holder h(1);
+  const Time began = h.now();
+  const auto behind = [&] { return (h.now() - began) / kApart; };
+  while (h.now() < began + 10min) {
+    h.hear({}, kWay + behind());
+    h.run(h.now() + kRenew);
+  }
+  const Time until = h.now() + 1s;
+  h.hear({{"a", Holder::lasting(until - behind())}}, kWay + behind());
+  const Time ended = h.run(until + kPageOwed).at("a");
+  EXPECT_GE(ended, until);
+  EXPECT_LE(ended, until + kClockError + kLeftToOwner);
+}
+
 // An owner that is heard ends its messages itself, also where it is a little late: the holders' notices would
 // come to as many as its own.
 TEST(CopiesEnds, AnOwnerThatIsHeardIsLeftAloneAsLongAsTheBoundAllows) {
