Let a process that has given over end only once its file has the ends of its calls

What callers would see: with its link lost and its folder failing for a moment, the last call of an old process ends, that process goes at once, and the new one takes the call for one that was cut: a delivered message is told as given up, a told wait is not kept.

Cause: the drain asked whether all was told over links, and not whether the file had taken it.

Open: a folder that fails until the process has to go.

--- a/relay/call_ends.h
+++ b/relay/call_ends.h
@@ -49,6 +49,7 @@
 
   // False: the file does not take it now. To be tried again; nothing is lost.
   bool flush(int file);
+  bool written() const { return unwritten_.empty(); }
 
  private:
   std::string unwritten_;
--- a/relay/call_owners.h
+++ b/relay/call_owners.h
@@ -68,6 +68,9 @@
   enum class Life { lives, released, dead };
   Life life_of(const std::string& name) const;
 
+  // Whether its file has all that was told here.
+  bool written() const { return file_ < 0 || ends_.written(); }
+
   // No connection of this process carries a call any more, and none will.
   void release();
 
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -78,7 +78,7 @@
 bool Relay::cut_calls() {
   host_client_.cut_all();
   if (!successor_) flush_journal();  // what never left may be tried by a restart
-  return !successor_ || successor_->told_all();
+  return !successor_ || (successor_->told_all() && owners_.written());
 }
 
 void Relay::successor_gone() {
@@ -105,8 +105,8 @@
   tell_ends(flush_journal());
   const bool idle = !successor_ && passed >= kClientsCome && held_ == 0 && server_.connections() == 0 &&
                     host_client_.calls_out() == 0 && !discovery_.notices_pending();
-  const bool quiet =
-      closing_ && calls_.empty() && server_.connections() == 0 && (!successor_ || successor_->told_all());
+  const bool quiet = closing_ && calls_.empty() && server_.connections() == 0 &&
+                     (!successor_ || (successor_->told_all() && owners_.written()));
   const bool leaves = passed >= (successor_ ? kGoneAfter : kLeaveAfter);
   // The connections are closed before anybody may take this process for gone.
   const bool told = leaves && (cut_calls() || passed >= kToldAfter);
--- a/tests/call_ends_test.cpp
+++ b/tests/call_ends_test.cpp
@@ -181,6 +181,28 @@
   EXPECT_EQ(process_->wait(), 0);
 }
 
+// Guards against a process that ends with something to say that its folder does not take at that moment: its
+// successor would take the call for one that was cut.
+TEST_F(CallEndsTest, AnAnswerIsKnownThoughTheFolderOfALonelyProcessFailsForAMoment) {
+  constexpr auto kFailsFrom = 2000ms, kFailsFor = 400ms, kWithin = 50ms;
+  const auto begun = SteadyClock::now();
+  environment_ = {{"LD_PRELOAD", SHIM},
+                  {"SOAK_BEGIN_MS", std::to_string(begun.time_since_epoch() / 1ms)},
+                  {"SOAK_FOLDER", std::to_string(kFailsFrom / 1ms) + ":" +
+                                      std::to_string((kFailsFrom + kFailsFor) / 1ms) + ":1"}};
+  next_environment_ = {{"LD_PRELOAD", SHIM}, {"SOAK_BROKEN_LINK", broken_in_second_}};
+  add_host("p1", 3, "plain",
+           [this](tcp::socket& socket, Request& request) { return hold_one(socket, request); });
+  start_old(6000, 6000);
+  ASSERT_EQ(hand_in("m", "refund", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  upgrade(process_, new_);
+  break_link(broken_in_second_, process_);
+  std::this_thread::sleep_until(begun + kFailsFrom + kWithin);
+  end_call(Answer::delivered);
+  expect_known_as_delivered();
+}
+
 // Guards against losing what was said by a process that has gone, in order, before its successor looked.
 TEST_F(CallEndsTest, AnAnswerIsKnownThoughItsProcessEndedBeforeTheLastOneLooked) {
   hand_over_twice("refund");
