Take a free lock for a relay that is gone only once it stays free

What callers would see: the link of two processes is lost, the second one gives over in that moment to a third that is held up before it takes the folder's lock, and the first one ends its calls: a call that would have been delivered may have run.

Cause: one look at a free lock stood for "nobody is the relay". Mend: it has to stay free for the 0.15 s that a relay may be held up for.

Not mended: where the second process is killed with calls of its own, the first one still cuts its calls though a third lives; no rule is broken by that, work is lost.

--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -458,9 +458,13 @@
   if (heir_.empty() || relay_->owner_name().empty()) return false;
   const auto life = relay_->life_of(heir_);
   if (life != CallOwners::Life::released) return life == CallOwners::Life::lives;
-  if (!lock_.try_take()) return true;
-  lock_.release();
-  return false;
+  const bool is_free = lock_.try_take();
+  if (is_free) lock_.release();
+  if (!is_free) relay_missing_since_.reset();
+  if (!is_free) return true;
+  // One that takes over may be held up just before it takes the lock.
+  if (!relay_missing_since_) relay_missing_since_ = SteadyClock::now();
+  return SteadyClock::now() - *relay_missing_since_ <= CallOwners::kLongestHoldUp;
 }
 
 void Succession::watch_heir() {
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -92,6 +92,7 @@
   bool standing_by_ = false;      // could take over at once
   bool successor_ready_ = false;  // has said which version it speaks
   bool ending_ = false, given_over_ = false;
+  std::optional<std::chrono::steady_clock::time_point> relay_missing_since_;  // the lock is free
   std::string heir_;          // the process that took over from this one, by its name among CallOwners
   bool awaits_link_ = false;  // it is to end, and its successor's link was lost a moment ago
   std::chrono::steady_clock::time_point told_to_end_{};
