Count a wait for a request's bytes once, and take the page's figures from one header

Found by a reviewer of ArrivalTime by reading: a wait for bytes that is interrupted and begun anew (a connection that was about to be closed) counted as time for which the relay did not read, and an absurd answer of the kernel would have been believed as far as that, 10 s at most. It counts once now. Test: fails without this, passes with it.

The hold-up, the client's patience and the slack of sockets stood in two headers more: they are those of budgets.h now, with the same values.

--- a/relay/arrival_time.cpp
+++ b/relay/arrival_time.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <optional>
+#include <utility>
 
 #include "budgets.h"
 
@@ -26,7 +27,10 @@
 
 }  // namespace
 
-void ArrivalTime::awaits() { not_reading_ = Clock::now() - read_at_; }
+void ArrivalTime::awaits() {
+  if (std::exchange(waiting_, true)) return;
+  not_reading_ = Clock::now() - read_at_;
+}
 
 void ArrivalTime::read(int socket) {
   const Moment present = read_clocks();
@@ -34,6 +38,7 @@
   const Clock::duration waited = std::min<Clock::duration>(told, budgets::kUnread + not_reading_);
   last_byte_ = present + -std::chrono::duration_cast<vetchhinge::Duration>(waited);
   read_at_ = Clock::now();
+  waiting_ = false;
   not_reading_ = Clock::duration::zero();
 }
 
--- a/relay/arrival_time.h
+++ b/relay/arrival_time.h
@@ -19,7 +19,8 @@
 // Of one connection's bytes. All spans are of this process's clocks.
 class ArrivalTime {
  public:
-  // The relay begins to wait for bytes: those that came since the last were read may have waited until now.
+  // The relay begins to wait for bytes: those that came since the last were read may have waited until now. A
+  // wait that is begun anew, with nothing read, goes on.
   void awaits();
   // Bytes were read just now.
   void read(int socket);
@@ -31,6 +32,7 @@
   using Clock = std::chrono::steady_clock;
 
   Clock::time_point read_at_ = Clock::now();
+  bool waiting_ = false;
   Clock::duration not_reading_{};  // between the last read and the wait for the next
   Moment last_byte_{};
 };
--- a/relay/call_owners.h
+++ b/relay/call_owners.h
@@ -28,6 +28,7 @@
 #include <utility>
 #include <vector>
 
+#include "budgets.h"
 #include "call_ends.h"
 
 namespace myrtlegrade {
@@ -36,7 +37,7 @@
  public:
   // The kernel frees the lock and closes the connections of a process that ends one after the other, and a
   // process may be held up for so long at any point (STANDING.md).
-  static constexpr auto kLongestHoldUp = std::chrono::milliseconds(150);
+  static constexpr auto kLongestHoldUp = budgets::kHoldUp;
 
   struct Events {
     // What an earlier process says of its calls: from the start of its file on, also what a link has told.
--- a/relay/ended_messages.h
+++ b/relay/ended_messages.h
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <unordered_map>
 
+#include "budgets.h"
 #include "bytes.h"
 #include "moment.h"
 
@@ -19,7 +20,8 @@
 // From a request's first reading to that of the same request on a new connection: a client waits 400 ms in
 // all, the relay may be held up for 150 ms before it takes the connection and again before it reads it, and
 // on sockets a time limit is 50 ms longer.
-inline constexpr std::chrono::milliseconds kComesAgainWithin{400 + 2 * 150 + 50};
+inline constexpr std::chrono::milliseconds kComesAgainWithin =
+    budgets::kAnswerOwed + budgets::kUnread + budgets::kSlack;
 
 // Equal on every machine and for every version: it is kept in files.
 std::uint64_t fingerprint(std::string_view text, std::uint64_t seed = 0);
--- a/tests/arrival_test.cpp
+++ b/tests/arrival_test.cpp
@@ -184,6 +184,19 @@
   EXPECT_LT(arrival.last_byte().steady, before);
 }
 
+// A wait that is begun anew is one wait: as long as the relay waits it would read, and no answer of the
+// kernel is believed beyond a hold-up.
+TEST_F(ArrivalOnASocket, CountsNoWaitAsTimeForWhichTheRelayDidNotRead) {
+  ArrivalTime arrival;
+  arrival.awaits();
+  boost::asio::write(client_, boost::asio::buffer("x", 1));
+  std::this_thread::sleep_for(3 * kUnread);
+  arrival.awaits();
+  const auto before = steady_time();
+  arrival.read(socket_.native_handle());
+  EXPECT_GE(arrival.last_byte().steady, before - kUnread);
+}
+
 // Bytes that waited while the relay itself did not read: behind a request that was being answered.
 TEST_F(ArrivalOnASocket, CountsTheTimeForWhichTheRelayDidNotRead) {
   ArrivalTime arrival;
