Let the lab continue the process that it stopped, not the one that has replaced it

Trace: a relay's process says nothing from its stall on and is killed 3.7 s after its SIGTERM; an upgrade had put the next process in its place during the stall, which got the SIGCONT.

Cause: the stall ended whatever process was the relay's by then. Mend: it is told to the one that was stopped, also among the earlier ones.

No test of its own.

--- a/lab/drive.cpp
+++ b/lab/drive.cpp
@@ -190,21 +190,24 @@
         co_await sleep(f.lasts / static_cast<int>(f.targets.size()));
       }
       break;
-    case FaultKind::stall:
+    case FaultKind::stall: {
+      std::map<std::uint32_t, const Child*> stopped;
       for (const std::uint32_t r : f.targets) {
         if (relays_[r].child) relays_[r].child->signal(SIGSTOP);
+        stopped[r] = relays_[r].child.get();
         relays_[r].stalled = true;
         see({.what = What::stalled, .relay = r});
         relays_[r].view.reset();
       }
       co_await sleep(f.lasts);
       for (const std::uint32_t r : f.targets) {
-        if (relays_[r].child) relays_[r].child->signal(SIGCONT);
+        go_on(relays_[r], stopped[r]);
         relays_[r].stalled = false;
         see({.what = What::stalled, .relay = r, .kept = true});
         relays_[r].runs_from = now();
       }
       break;
+    }
     case FaultKind::outage:
     case FaultKind::single:
     case FaultKind::silent:
--- a/lab/drive_parts.h
+++ b/lab/drive_parts.h
@@ -88,6 +88,8 @@
   asio::awaitable<void> sleep_until(Time at);
   template <typename Awaitable>
   void go(Awaitable work);
+  // The process that was stopped, which may have been replaced meanwhile.
+  static void go_on(const RelayProcess& relay, const Child* stopped);
   void start_relay(std::uint32_t relay);
   void kill_relay(std::uint32_t relay, bool kept);
   asio::awaitable<void> await_ready(std::uint32_t relay, unsigned start);
--- a/lab/drive_processes.cpp
+++ b/lab/drive_processes.cpp
@@ -134,6 +134,13 @@
       folder + "/log");
 }
 
+void Drive::go_on(const RelayProcess& relay, const Child* stopped) {
+  if (relay.child && relay.child.get() == stopped) relay.child->signal(SIGCONT);
+  for (const auto& old : relay.earlier) {
+    if (old.get() == stopped) old->signal(SIGCONT);
+  }
+}
+
 void Drive::start_relay(std::uint32_t relay) {
   RelayProcess& r = relays_[relay];
   fs::create_directories(r.folder + "/state");
