Decide an owed end in its outcome's turn, and keep a connection ready for its notice

A message's last call fails, it is given up, and its client hears of that up to 0.4 s after the call's end.

Cause: between the outcome and the notice's last byte lie three turns of the event loop, each of which may be held up for 0.15 s: the outcome waited for the next step (a timer), and the notice for a new connection. docs/budgets.md counts one.

Change: an outcome that leaves its message no further call (its attempts are used up, or it may have run and may not be repeated) is decided at once, behind the reports of HostClient, of a link or of an owner's file, and not a tick later. NoticeSender keeps a connection open ahead of notices, opens it again where it ends (50 ms, doubled up to 3.2 s), and begins a new try at once where a kept connection had ended. The question whether a class may run twice was asked in four places and is one function now.

Why this works: outcome, decision and notice are one turn, so that no hold-up lies between them.

--- a/lab/soak/shim.cpp
+++ b/lab/soak/shim.cpp
@@ -19,6 +19,8 @@
 //                  as long as this file is there, each read from a Unix socket breaks its connection
 //   SOAK_CLOSE_MS  each close of an internet socket comes so much later: the process is held up just before
 //   it
+//   SOAK_WAIT_MS   each wait for events that brings some lasts so much longer: each turn of an event loop is
+//                  held up
 //   SOAK_HOLD_UPS  "SHARE:FROM:UNTIL:GAP": behind that share of waits that returned, of reads and writes of
 //                  sockets and of syncs of files, the process is held up for 140 to 150 ms (STANDING allows
 //                  0.15 s), at most once in GAP milliseconds, so that two never add up
@@ -57,7 +59,7 @@
   long step_at = 0, step_ms = 0;
   Span calls, folder;
   HoldUps hold_ups;
-  long close_ms = 0;
+  long close_ms = 0, wait_ms = 0;
   long aborted_accept = 0, unix_sockets = 0;
   bool short_sends = false;
   const char* broken_link = nullptr;
@@ -99,6 +101,7 @@
     if (const char* port = getenv("SOAK_BROKEN_READ")) p.broken_read = strtol(port, nullptr, 10);
     if (const char* count = getenv("SOAK_UNIX_SOCKETS")) p.unix_sockets = strtol(count, nullptr, 10);
     if (const char* delay = getenv("SOAK_CLOSE_MS")) p.close_ms = strtol(delay, nullptr, 10);
+    if (const char* delay = getenv("SOAK_WAIT_MS")) p.wait_ms = strtol(delay, nullptr, 10);
     return p;
   }();
   return read;
@@ -344,9 +347,13 @@
 
 int epoll_wait(int file, epoll_event* events, int most, int timeout) {
   static const auto call = real<int (*)(int, epoll_event*, int, int)>("epoll_wait");
-  if (!happens(plan().calls)) return perhaps_held_up(call(file, events, most, timeout));
-  errno = EINTR;
-  return -1;
+  if (happens(plan().calls)) {
+    errno = EINTR;
+    return -1;
+  }
+  const int ready = call(file, events, most, timeout);
+  if (ready > 0 && plan().wait_ms > 0) hold_up(plan().wait_ms);
+  return perhaps_held_up(ready);
 }
 
 ssize_t write(int file, const void* buffer, size_t size) {
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -173,6 +173,7 @@
   if (call->reusable) keep_idle(*call);
   call->connection = nullptr;
   calls_.erase(call);
+  if (limits_.after_reports) limits_.after_reports();
 }
 
 asio::awaitable<bool> HostClient::connect(Call& call) {
@@ -378,9 +379,11 @@
     if (never_up || too_late || due.at <= now || due.at == SteadyTime::max() || !due.one_waits) {
       call->close(CallEnd::timed_out);
       report_timed_out(*call, now);
+      if (limits_.after_reports) limits_.after_reports();
       co_return;
     }
     report_timed_out(*call, now);
+    if (limits_.after_reports) limits_.after_reports();
     const SteadyTime next = std::min(due.at, call->arrive_by);
     call->timer.expires_at(call->connected ? next : std::min(next, call->connect_deadline));
     co_await call->timer.async_wait(kAwait);
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -72,6 +72,8 @@
     // answers whether the call may go out; empty: it may.
     std::function<bool(const std::vector<CallItem>&)> before_last_byte{};
     std::string via{};  // who says so in each call; empty: nobody
+    // Behind reports, in the same turn of the event loop: this client may be called again by then.
+    std::function<void()> after_reports{};
   };
   using Report = std::function<void(vetchhinge::HostId, const CallItem&, const CallResult&)>;
   // The call of that number is over, and each of its items was reported before.
--- a/relay/notice_sender.cpp
+++ b/relay/notice_sender.cpp
@@ -29,6 +29,8 @@
 constexpr auto kShortestPause = 2ms;  // in time
 constexpr auto kLatePause = 20ms, kLongestLatePause = 100ms;
 constexpr int kMostDoublings = 3;
+constexpr auto kConnectWithin = 1s;  // ahead of notices
+constexpr auto kReopenAfter = 50ms, kReopenMost = 3200ms;
 
 std::string line_of(const Notice& notice) {
   json::object line{{"message", notice.message},
@@ -43,15 +45,25 @@
     : executor_(std::move(executor)),
       address_(std::move(address)),
       on_settled_(std::move(on_settled)),
-      retry_(executor_) {}
+      retry_(executor_),
+      reopen_(executor_) {}
 
 void NoticeSender::send(Notice notice) {
   const Clock::time_point paced = Clock::now() + budgets::kNoticePaced + budgets::kNoticeWay;
   const Clock::time_point owed =
       notice.owed_by ? Clock::time_point(notice.owed_by->time_since_epoch()) : Clock::time_point::max();
   notices_.push_back({std::move(notice), std::min(paced, owed)});
-  if (!std::exchange(running_, true)) return spawn(executor_, run());
-  retry_.cancel();  // a pause that is long, for what is late already
+  if (std::exchange(running_, true)) {
+    retry_.cancel();  // a pause that is long, for what is late already
+    return;
+  }
+  if (!connected_) drop_connection();  // it was coming up with a time that fits no notice
+  spawn(executor_, run());
+}
+
+void NoticeSender::stand_ready() {
+  ready_wanted_ = true;
+  spawn(executor_, keep_ready(++ready_number_));
 }
 
 void NoticeSender::move(const Endpoint& address) {
@@ -59,16 +71,20 @@
   failures_ = time_outs_ = 0;
   drop_connection();
   retry_.cancel();
+  if (ready_wanted_ && !running_) stand_ready();
 }
 
 void NoticeSender::stop() {
   notices_.clear();
+  ready_wanted_ = false;
   drop_connection();
   retry_.cancel();
+  reopen_.cancel();
 }
 
 void NoticeSender::drop_connection() {
   if (const Stream old = std::exchange(stream_, nullptr)) old->close();
+  connected_ = false;
   spare_.keep();
 }
 
@@ -106,6 +122,7 @@
 asio::awaitable<void> NoticeSender::run() {
   while (!notices_.empty()) {
     const std::size_t count = std::min(notices_.size(), kMostNotices);
+    const bool kept = connected_;
     const Outcome outcome = co_await try_once(count);
     if (outcome == Outcome::moved) continue;
     if (outcome == Outcome::taken) {
@@ -115,10 +132,40 @@
     ++failures_;
     time_outs_ = outcome == Outcome::timed_out ? time_outs_ + 1 : 0;
     drop_connection();
+    if (kept && outcome == Outcome::failed) continue;  // it had ended while it was idle
     retry_.expires_after(pause());
     co_await retry_.async_wait(kAwait);
   }
   running_ = false;
+  if (ready_wanted_) stand_ready();
+}
+
+// Until a notice takes the connection over.
+asio::awaitable<void> NoticeSender::keep_ready(unsigned number) {
+  const auto is_wanted = [this, number] { return ready_wanted_ && !running_ && number == ready_number_; };
+  Clock::duration pause = kReopenAfter;
+  while (is_wanted()) {
+    const Clock::time_point began = Clock::now();
+    if (!stream_) {
+      const Stream stream = stream_ = std::make_shared<beast::tcp_stream>(executor_);
+      stream->expires_after(kConnectWithin);
+      const auto failed = co_await connect(*stream);
+      if (stream_ != stream) co_return;
+      if (failed) drop_connection();
+    }
+    if (stream_) co_await await_end(stream_);
+    if (!is_wanted()) co_return;
+    drop_connection();
+    const bool stood = Clock::now() - began > kReopenMost;
+    pause = stood ? Clock::duration(kReopenAfter) : std::min<Clock::duration>(2 * pause, kReopenMost);
+    reopen_.expires_after(pause);
+    co_await reopen_.async_wait(kAwait);
+  }
+}
+
+// What comes on it without a request is its end, or answers nothing.
+asio::awaitable<void> NoticeSender::await_end(Stream stream) {
+  (void)co_await stream->socket().async_wait(asio::socket_base::wait_read, kAwait);
 }
 
 void NoticeSender::settle(std::size_t count) {
@@ -164,6 +211,7 @@
   }
   if (error) co_return error;
   const auto [refused] = co_await stream.async_connect(address_, kAwait);
+  connected_ = !refused && stream_.get() == &stream;
   co_return refused;
 }
 
--- a/relay/notice_sender.h
+++ b/relay/notice_sender.h
@@ -4,6 +4,9 @@
 // Tries follow from what is left of that time: a try that gets no answer is given up early enough for several
 // more, and one that fails at once is followed by the next within milliseconds. Once the time is over they
 // grow apart, so that a service that is slow or gone is not stormed.
+//
+// A connection stands ready between notices. The next one leaves on it in the turn of the event loop in which
+// it is decided, and does not wait for a new connection in another turn, which may be held up.
 #pragma once
 
 #include <boost/asio/any_io_executor.hpp>
@@ -29,6 +32,9 @@
 
   NoticeSender(boost::asio::any_io_executor executor, Endpoint address, OnSettled on_settled);
 
+  // Opens a connection ahead of the first notice, and again whenever one that stood ready ends.
+  void stand_ready();
+
   // Sent again until the platform has taken it, with more tries the less is left until it is owed.
   void send(Notice notice);
   bool pending() const { return !notices_.empty(); }
@@ -48,6 +54,8 @@
   enum class Outcome { taken, failed, timed_out, moved };
 
   boost::asio::awaitable<void> run();
+  boost::asio::awaitable<void> keep_ready(unsigned number);
+  boost::asio::awaitable<void> await_end(Stream stream);
   boost::asio::awaitable<Outcome> try_once(std::size_t count);
   boost::asio::awaitable<boost::system::error_code> connect(boost::beast::tcp_stream& stream);
   std::string request(std::size_t count) const;
@@ -61,12 +69,15 @@
   boost::asio::any_io_executor executor_;
   Endpoint address_;
   OnSettled on_settled_;
-  Stream stream_;  // kept between notices
+  Stream stream_;           // kept between notices
+  bool connected_ = false;  // it stands
+  bool ready_wanted_ = false;
+  unsigned ready_number_ = 0;  // of the last keep_ready(): an earlier one ends
   SpareDescriptor spare_;
   bool running_ = false;
   std::deque<Pending> notices_;
   int failures_ = 0, time_outs_ = 0;  // in a row
-  boost::asio::steady_timer retry_;
+  boost::asio::steady_timer retry_, reopen_;
 };
 
 }  // namespace myrtlegrade
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -49,9 +49,16 @@
       journal_(config_.state_folder, config_.disk_bytes, config_.durability),
       sender_(config_.settings),
       owners_(executor, config_.state_folder,
-              {.told = [this](const std::string& owner,
-                              const CallRecord& record) { read_of_call(owner, record); },
-               .gone = [this](const std::string& owner) { owner_gone(owner); },
+              {.told =
+                   [this](const std::string& owner, const CallRecord& record) {
+                     read_of_call(owner, record);
+                     decide_owed_ends();
+                   },
+               .gone =
+                   [this](const std::string& owner) {
+                     owner_gone(owner);
+                     decide_owed_ends();
+                   },
                .none_left = [this] { no_owner_left(); }}),
       host_client_(
           executor,
@@ -62,7 +69,8 @@
            .reports = config_.dialect.share_left && config_.dialect.calls_per_second,
            .before_last_byte =
                [this](const std::vector<CallItem>& items) { return record_before_last_byte(items); },
-           .via = config_.copies ? config_.name : ""},
+           .via = config_.copies ? config_.name : "",
+           .after_reports = [this] { decide_owed_ends(); }},
           [this](HostId host, const CallItem& item, const CallResult& result) {
             reported(host, item, result);
           },
@@ -222,10 +230,22 @@
           CopyNet::now(), open.payload->id, item.attempt,
           never_ran ? valedrum::copies::Fate::never_ran : valedrum::copies::Fate::may_have_run);
     }
+    if (!result.over && !may_be_called_again(open)) end_owed_ = true;
   }
   if (result.over || open.over) close_message(item.message);
 }
 
+// Its work may not be repeated.
+bool Relay::runs_once(const std::string& cls) const {
+  const auto known = config_.dialect.classes.find(cls);
+  return known && config_.settings.classes[*known].effect == Effect::at_most_once;
+}
+
+bool Relay::may_be_called_again(const Open& open) const {
+  const bool may_not_repeat = open.may_have_run && runs_once(open.cls);
+  return open.attempts < config_.settings.max_attempts && !may_not_repeat;
+}
+
 // A connection may come up, or be proven, after the message has got its final answer: then it must not go
 // out.
 bool Relay::may_leave(const CallItem& item) const {
@@ -287,6 +307,12 @@
   });
 }
 
+// An end is owed within 150 ms of the outcome that leaves a message no other: it waits neither for a tick nor
+// for another turn of the event loop, each of which may be held up.
+void Relay::decide_owed_ends() {
+  if (std::exchange(end_owed_, false)) step();
+}
+
 void Relay::step() {
   step_at_ = SteadyClock::time_point::max();
   if (closing_) return;
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -69,6 +69,8 @@
   // that is not over is kept back for as long as the call's connection is open.
   void reported_elsewhere(const std::string& id, std::uint32_t attempt, const CallResult& result);
   void call_over_elsewhere(std::uint64_t call, CallEnd end);
+  // Behind both, in the same turn of the event loop: ends that are owed at once.
+  void decide_owed_ends();
   // The link to it has ended, which proves nothing of its connections: see CallOwners.
   void predecessor_gone();
   // Nobody takes up what becomes of the calls that are out here: they end at once.
@@ -195,6 +197,8 @@
   void retry_journal();
   void close_message(vetchhinge::MessageId id);
   bool may_leave(const CallItem& item) const;
+  bool runs_once(const std::string& cls) const;
+  bool may_be_called_again(const Open& open) const;
   bool records_at_decision() const { return copies_ || syncer_; }
   void record_attempt(const Open& open, Out& out);
   bool keeps_rules(const CallItem& item);
@@ -269,7 +273,8 @@
   std::vector<vetchhinge::MessageId> arrivals_;  // not journaled, and not answered
   std::vector<UntoldEnd> untold_ends_;           // until the journal has them
   std::vector<vetchhinge::Event> events_;
-  std::size_t held_ = 0;  // messages that are not over
+  bool end_owed_ = false;  // by an outcome among them, to a message that may not be called again
+  std::size_t held_ = 0;   // messages that are not over
   std::uint32_t last_id_ = 0;
   std::uint64_t last_call_ = 0;
   std::unordered_map<std::uint64_t, CallOut> calls_;  // by number: those of this process, and inherited ones
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -40,12 +40,11 @@
 }
 
 bool Relay::copy(const Open& open) {
-  const auto cls = config_.dialect.classes.find(open.cls);
   copies::Item item;
   item.until = to_copies(open.deadline);
   item.payload = std::make_shared<const copies::Payload>(
       copies::Payload{open.payload->id, open.cls, open.payload->key, open.payload->body, open.destination,
-                      config_.settings.classes[*cls].effect == Effect::at_most_once});
+                      runs_once(open.cls)});
   return copies_->copies().take(CopyNet::now(), open.payload->id, std::move(item)) !=
          copies::Copies::Taken::refused;
 }
@@ -155,9 +154,7 @@
 // more by then. All other notices do no harm to what others may do.
 void Relay::tell(Notice notice) {
   const auto found = ids_.find(notice.message);
-  const auto cls =
-      found == ids_.end() ? std::nullopt : config_.dialect.classes.find(open_.at(found->second).cls);
-  const bool once = cls && config_.settings.classes[*cls].effect == Effect::at_most_once;
+  const bool once = found != ids_.end() && runs_once(open_.at(found->second).cls);
   const bool waits = notice.handed_back && once;
   if (copies_) copies_->copies().owe(CopyNet::now(), notice.message, {notice.handed_back, notice.retry_in});
   if (!waits) {
--- a/relay/relay_journal.cpp
+++ b/relay/relay_journal.cpp
@@ -24,14 +24,12 @@
 // and logged, and no reason to end a relay that serves.
 bool Relay::keeps_rules(const CallItem& item) {
   const Open& open = open_.at(item.message);
-  const auto cls = config_.dialect.classes.find(open.cls);
-  const bool once = cls && config_.settings.classes[*cls].effect == Effect::at_most_once;
   const char* broken = nullptr;
   // Also one that has an outcome, as long as its connection is open, and those of earlier processes.
   if (open.out.size() > 1 || open.earlier_call_open) broken = "another attempt is out";
   if (successor_) broken = "this process has given over";
   if (item.attempt >= config_.settings.max_attempts) broken = "no attempt is left";
-  if (once && open.may_have_run) broken = "it may have run and may not be repeated";
+  if (open.may_have_run && runs_once(open.cls)) broken = "it may have run and may not be repeated";
   if (!broken) return true;
   ++counters_.violations;
   std::cerr << "myrtlegrade: VIOLATION: call stopped: message=" << open.payload->id
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -70,6 +70,7 @@
   owners_.start();
   if (copies_) copies_->start();
   server_.start();
+  discovery_.stand_ready_for_notices();
   if (!config_.settings.list_on_request) discovery_.watch(endpoints_.version());
   keep_log();
 }
--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -328,10 +328,12 @@
     const auto attempt = static_cast<std::uint32_t>(in.number());
     const CallResult result = read_result(in);
     if (in.good) relay_->reported_elsewhere(id, attempt, result);
+    relay_->decide_owed_ends();
   } else if (kind == Frame::call_over) {
     const std::uint64_t call = in.number();
     const auto end = static_cast<CallEnd>(in.number());
     if (in.good) relay_->call_over_elsewhere(call, end);
+    relay_->decide_owed_ends();
   } else if (kind == Frame::hand_in) {
     const std::uint64_t token = in.number();
     HandIn message = read_hand_in(in);
