Give up a waiting message whose call is over and that may have no other, without the others' leave

A once-only message whose call broke, or was cut, in the old process was told by the new one up to 0.5 s later.

Cause: a new process asks the others for leave before it takes its messages up, and kept the end of a call until then. That takes a round of connections and votes, each of which may be held up.

Change: once the last call of a waiting message is over, and the message has used its attempts up or may have run and may not be repeated, it is taken up at once, and the module gives it up in the same turn. Where the others hand it back later, the remembered end counts and it is over for them too. What may still be called waits as before. `expired` is a line of the trace now; whether a result means that a call never ran is one function.

Why this works: the decision needs what this process knows alone; the ownership protects calls, and none can follow.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -50,6 +50,10 @@
 
 }  // namespace
 
+bool never_ran(Result result) {
+  return result == Result::full || result == Result::connect_failed || result == Result::not_sent;
+}
+
 std::string_view name_of(CallEnd end) {
   constexpr std::string_view names[] = {"answered",      "timed_out", "broken",
                                         "not_connected", "withheld",  "cut"};
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -53,6 +53,9 @@
   vetchhinge::ConnectionUsed connection{};
 };
 
+// Whether the host has surely not begun the work.
+bool never_ran(vetchhinge::Result result);
+
 // Why a call is over.
 enum class CallEnd { answered, timed_out, broken, not_connected, withheld, cut };
 
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -208,8 +208,6 @@
   // A wait binds from the answer's arrival, not from the next step: what still connects must not go out.
   if (result.wait > 0us) endpoints_.withhold_told(host);
   if (!open.over) {
-    const bool never_ran = result.result == Result::full || result.result == Result::connect_failed ||
-                           result.result == Result::not_sent;
     if (!result.over) open.ended.push_back({item.attempt, endpoints_.name(host), name_of(result.result)});
     if (result.over) {
       const bool delivered = result.result == Result::delivered;
@@ -219,16 +217,16 @@
         ++counters_.taken;
         std::exchange(open.respond, nullptr)({Answer::Kind::taken});
       }
-    } else if (never_ran) {
+    } else if (never_ran(result.result)) {
       journal_.never_ran(open.payload->id, item.attempt);
     } else {
       open.may_have_run = true;
     }
     if (copies_ && result.over) copies_->copies().over(CopyNet::now(), open.payload->id);
     if (copies_ && !result.over) {
-      copies_->copies().fate(
-          CopyNet::now(), open.payload->id, item.attempt,
-          never_ran ? valedrum::copies::Fate::never_ran : valedrum::copies::Fate::may_have_run);
+      using valedrum::copies::Fate;
+      copies_->copies().fate(CopyNet::now(), open.payload->id, item.attempt,
+                             never_ran(result.result) ? Fate::never_ran : Fate::may_have_run);
     }
     if (!result.over && !may_be_called_again(open)) end_owed_ = true;
   }
@@ -310,6 +308,7 @@
 // An end is owed within 150 ms of the outcome that leaves a message no other: it waits neither for a tick nor
 // for another turn of the event loop, each of which may be held up.
 void Relay::decide_owed_ends() {
+  take_up_ended();
   if (std::exchange(end_owed_, false)) step();
 }
 
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -249,6 +249,8 @@
   void told_of_waiting(const std::string& id, std::uint32_t attempt, const CallResult& result);
   void call_of_waiting_over(std::uint64_t call, CallEnd end);
   void owner_of_waiting_gone(const std::string& owner);
+  bool can_only_end(const Waiting& waiting) const;
+  void take_up_ended();
   void apply_told(const OutCall& out);
   bool ends_delivered(const std::string& id);
   void end_waiting(const std::string& id);
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "budgets.h"
+#include "message_trace.h"
 #include "relay.h"
 
 namespace myrtlegrade {
@@ -223,6 +224,10 @@
     return;
   }
   if (ends_delivered(id)) return;
+  // It was given up here without the others' leave. What is remembered as taken or as handed back may have
+  // been theirs to end.
+  if (const Ended* const end = journal_.ended(id); end && end->told == Ended::Told::failed)
+    return copies_->copies().over(CopyNet::now(), id);
   auto found = waiting_.extract(id);
   if (!item.payload || !config_.dialect.classes.find(item.payload->cls)) {
     const Notice notice{id, false, {}};
@@ -278,6 +283,7 @@
   const auto own = ids_.find(over.id);
   if (own != ids_.end() && !open_.at(own->second).over) return;  // the module ends it
   if (ends_delivered(over.id)) return;
+  MessageTrace::event(over.id, "expired");
   end_waiting(over.id);
   Notice notice{over.id, over.notice.handed_back, whole_ms(over.notice.retry_in)};
   if (const copies::Item* item = copies_->copies().look(over.id))
--- a/relay/relay_waiting.cpp
+++ b/relay/relay_waiting.cpp
@@ -1,5 +1,6 @@
 // Messages that wait until it is known that they are still this relay's to end, with a call of an earlier
 // process out: what is told of the call meanwhile is kept, and counts once the message is taken up.
+#include <algorithm>
 #include <utility>
 
 #include "message_trace.h"
@@ -42,6 +43,35 @@
   }
 }
 
+// It has no call out, and may get no other: whoever acts on it can only end it.
+bool Relay::can_only_end(const Waiting& waiting) const {
+  if (!waiting.out || !waiting.out->ended) return false;
+  const OutCall& out = *waiting.out;
+  const std::vector<StoredAttempt>& attempts = waiting.stored.attempts;
+  if (out.told && is_final(*out.told)) return false;
+  const bool last_may_have_run = !out.told || !never_ran(out.told->result);
+  bool may_have_run = last_may_have_run;
+  for (std::size_t n = 0; n < attempts.size(); ++n)
+    may_have_run = may_have_run || (n != out.attempt && attempts[n].may_have_run);
+  const std::size_t made = std::max<std::size_t>(attempts.size(), out.attempt + 1);
+  return made >= config_.settings.max_attempts || (may_have_run && runs_once(waiting.stored.cls));
+}
+
+// Its notice is owed now, and does no harm to what another may have ended: it does not wait until this relay
+// may act on it.
+void Relay::take_up_ended() {
+  if (closing_ || successor_) return;
+  std::vector<std::string> ids;
+  for (const auto& [id, waiting] : waiting_) {
+    if (can_only_end(waiting)) ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    const Waiting waiting = std::move(waiting_.extract(id).mapped());
+    take_up(waiting.stored, &*waiting.out);
+    apply_told(*waiting.out);
+  }
+}
+
 // The call was booked with its message, as if it were still out.
 void Relay::apply_told(const OutCall& out) {
   if (out.told) reported_elsewhere(out.message, out.attempt, *out.told);
--- a/tests/copies_upgrade_test.cpp
+++ b/tests/copies_upgrade_test.cpp
@@ -177,6 +177,21 @@
   EXPECT_EQ(count_seen("m"), 1U);
 }
 
+// Guards against an end that waits for the others' leave although nobody may call the message again: its
+// notice came 0.4 s behind the call's end (soak, seed 649).
+TEST_F(CopiesUpgradeTest, AFailureOfWorkThatMayNotBeRepeatedWaitsForNobody) {
+  start_all();
+  upgrade_with_holders_stopped("refund", process_);
+  const auto ended = SteadyClock::now();
+  end_call(false);
+  ASSERT_TRUE(wait_notice("m", "given_up"));
+  EXPECT_LT(SteadyClock::now() - ended, kEndsWithin);
+  signal_holders(SIGCONT);
+  EXPECT_TRUE(wait_log(last_, "acts on the messages"));
+  ASSERT_TRUE(wait_copied());
+  EXPECT_EQ(count_seen("m"), 1U);
+}
+
 // Guards against an end that is lost: the notice or the repeat would wait for all earlier processes.
 TEST_F(CopiesUpgradeTest, AFailureThatIsToldWhileTheMessageWaitsIsToldInTime) {
   upgrade_with_unknown_calls("refund");
