Keep the first end of a withdrawn message whose request comes once more

A message is given up in time by the relay's count, and told up to 0.3 s later than it is owed by its client's.

Cause: a client whose kept connection was closed sends the same request once more, with the time that it stated at first. The relay had withdrawn the message when its answer could not be written, and forgot its end with it: the second arrival began the whole time anew. PROTOCOL counts the time from when the client sent the request, and a request that is sent once more is the same one.

Change: WithdrawnRequests remembers the end of a withdrawn message for as long as its request may come again (0.75 s), 1,024 at most; the earlier of both ends counts. It is not handed over at an upgrade, nor kept over a restart.

Why this works: the earlier end is the right one by the client's count, and in time by any other.

--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -145,6 +145,7 @@
     return respond(
         {Answer::Kind::refused, std::chrono::milliseconds(whole_ms(config_.settings.max_wait_hint))});
   }
+  message.deadline = deadline_of(message);
   const MessageId id = new_id();
   Open open;
   open.payload = std::make_shared<const Payload>(
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -27,6 +27,7 @@
 #include "server.h"
 #include "syncer.h"
 #include "vetchhinge/policy.h"
+#include "withdrawn_requests.h"
 
 namespace myrtlegrade {
 
@@ -138,6 +139,9 @@
     bool earlier_call_open =
         false;  // of a process that nothing is known of but that it may still have it out
 
+    std::uint64_t content() const {
+      return fingerprint_of_content(cls, destination, payload->key, payload->body);
+    }
     bool is(const HandIn& m) const {
       return cls == m.cls && destination == m.destination && payload->key == m.key && payload->body == m.body;
     }
@@ -148,6 +152,7 @@
   Answer answer_of(const Open& withdrawn, const HandIn& message);
   Ended ended(const Open& open, Ended::Told told, std::chrono::milliseconds retry_in = {}) const;
   void end_withdrawn(const Open& open);
+  Moment deadline_of(const HandIn& message) const;
   void remember_delivered(const Open& over);
   struct DecidedCall {
     std::uint64_t number = 0;
@@ -277,7 +282,8 @@
   std::unordered_map<vetchhinge::MessageId, Open> open_;
   std::unordered_map<std::string, vetchhinge::MessageId> ids_;
   std::vector<vetchhinge::MessageId> arrivals_;  // not journaled, and not answered
-  std::vector<UntoldEnd> untold_ends_;           // until the journal has them
+  WithdrawnRequests withdrawn_;
+  std::vector<UntoldEnd> untold_ends_;  // until the journal has them
   std::vector<vetchhinge::Event> events_;
   bool end_owed_ = false;  // by an outcome among them, to a message that may not be called again
   std::size_t held_ = 0;   // messages that are not over
--- a/relay/relay_same_request.cpp
+++ b/relay/relay_same_request.cpp
@@ -70,9 +70,7 @@
 Ended Relay::ended(const Open& open, Ended::Told told, std::chrono::milliseconds retry_in) const {
   const Moment present = read_clocks();
   const Moment& last = until(open.deadline, present) > Duration{} ? open.deadline : present;
-  return {told, retry_in,
-          fingerprint_of_content(open.cls, open.destination, open.payload->key, open.payload->body),
-          last + kComesAgainWithin};
+  return {told, retry_in, open.content(), last + kComesAgainWithin};
 }
 
 // After its end: what is remembered of that is more than what is known of a call of an earlier process.
@@ -99,6 +97,15 @@
   } else {
     journal_.end(open.payload->id);
   }
+  withdrawn_.remember(open.payload->id, open.content(), open.deadline);
+}
+
+// The same request that was withdrawn before keeps its end.
+Moment Relay::deadline_of(const HandIn& message) const {
+  if (withdrawn_.empty()) return message.deadline;
+  return withdrawn_.deadline_of(
+      message.id, fingerprint_of_content(message.cls, message.destination, message.key, message.body),
+      message.deadline);
 }
 
 }  // namespace myrtlegrade
--- /dev/null
+++ b/relay/withdrawn_requests.cpp
@@ -0,0 +1,33 @@
+#include "withdrawn_requests.h"
+
+#include "ended_messages.h"
+
+namespace myrtlegrade {
+
+using vetchhinge::Duration;
+
+void WithdrawnRequests::remember(const std::string& id, std::uint64_t content, const Moment& deadline) {
+  const Moment present = read_clocks();
+  const auto is_over = [&] { return until(entries_.at(order_.front()).forgotten_at, present) <= Duration{}; };
+  while (!order_.empty() && is_over()) forget_first();
+  const Entry entry{content, deadline, present + kComesAgainWithin};
+  if (!entries_.insert_or_assign(id, entry).second) return;
+  if (order_.size() >= kMost) forget_first();
+  order_.push_back(id);
+}
+
+Moment WithdrawnRequests::deadline_of(const std::string& id, std::uint64_t content, const Moment& own) const {
+  const auto found = entries_.find(id);
+  if (found == entries_.end() || found->second.content != content) return own;
+  const Moment present = read_clocks();
+  if (until(found->second.forgotten_at, present) <= Duration{}) return own;
+  const Moment& first = found->second.deadline;
+  return until(first, present) < until(own, present) ? first : own;
+}
+
+void WithdrawnRequests::forget_first() {
+  entries_.erase(order_.front());
+  order_.pop_front();
+}
+
+}  // namespace myrtlegrade
--- a/tests/same_request_test.cpp
+++ b/tests/same_request_test.cpp
@@ -187,6 +187,34 @@
   EXPECT_TRUE(wait_seen("refund"));
 }
 
+// Guards against a time that begins anew: the client counts it from its first sending, and heard of the end
+// too late (soak, seeds 542 and 605).
+TEST_F(SameRequestTest, AfterItsMessageWasWithdrawnKeepsItsEnd) {
+  constexpr auto kTime = 1500ms, kAgainAfter = 350ms, kOwedWithin = 300ms;
+  add_host("h", 2, "plain", [](tcp::socket& socket, Request&) {
+    return answer(socket, 429, "", {{"X-RateLimit-Wait-Ms", "1000"}});
+  });
+  environment_["PROXY_TRACE"] = "1";
+  start();
+  ASSERT_EQ(hand_in("waits", "note", 2), 202U);  // from now on the next one is held
+  ASSERT_TRUE(wait_log(process_, "waits outcome"));
+  behave("h", silent());
+  const Request request = with_time(message("m", "refund", 2), static_cast<int>(kTime.count()));
+  boost::asio::io_context context;
+  tcp::socket client = connect(context, address_);
+  std::this_thread::sleep_for(50ms);  // it is accepted
+  process_->signal(SIGSTOP);
+  const auto sent = SteadyClock::now();
+  http::write(client, request);
+  reset(client);
+  process_->signal(SIGCONT);
+  ASSERT_TRUE(wait_log(process_, "m withdrawn"));
+  std::this_thread::sleep_until(sent + kAgainAfter);
+  ASSERT_EQ(ask(address_, request).result_int(), 202U);
+  ASSERT_TRUE(wait_notice("m", "given_up"));
+  EXPECT_LT(watched_.read([this] { return noticed_at_.at("m"); }) - sent, kTime + kOwedWithin);
+}
+
 // The client of a message that a new process has taken on and called is gone before the old one can tell it.
 TEST_F(SameRequestTest, AfterItsMessageWasWithdrawnAndMayHaveRunRunsOnlyWhatMayRunTwice) {
   environment_["PROXY_TRACE"] = "1";
