Write a notice's rest in the turn of its first byte where the system takes a part of it

A message is given up 0 to 20 ms behind its time and its client told 290 to 316 ms later.

Cause: where the system takes fewer bytes than it was given, the rest of the notice went out in another turn of the event loop, which may be held up; the try's own time-out may run out meanwhile.

Change: write_promptly sends what the socket takes before it suspends, and leaves the rest to write_all; notices use it.

Why this works: between the decision and the notice's last byte lies no turn of the loop as long as the socket takes the bytes.

--- a/relay/notice_sender.cpp
+++ b/relay/notice_sender.cpp
@@ -187,7 +187,7 @@
   if (stream_ != stream) co_return Outcome::moved;
   if (!failed) {
     const std::string bytes = request(count);
-    failed = co_await write_all(StreamUse::notices, *stream, bytes);
+    failed = co_await write_promptly(StreamUse::notices, *stream, bytes);
   }
   http::response_parser<http::string_body> answer;
   beast::flat_buffer buffer;
--- a/relay/stream_io.cpp
+++ b/relay/stream_io.cpp
@@ -1,5 +1,8 @@
 #include "stream_io.h"
 
+#include <sys/socket.h>
+
+#include <cerrno>
 #include <sstream>
 
 #include "event_log.h"
@@ -13,6 +16,18 @@
 
 }  // namespace
 
+std::size_t stream_io_detail::send_now(int socket, std::string_view bytes) {
+  std::size_t sent = 0;
+  while (sent < bytes.size()) {
+    const ssize_t count =
+        ::send(socket, bytes.data() + sent, bytes.size() - sent, MSG_DONTWAIT | MSG_NOSIGNAL);
+    if (count < 0 && errno == EINTR) continue;
+    if (count <= 0) break;
+    sent += static_cast<std::size_t>(count);
+  }
+  return sent;
+}
+
 AbsorbedFailures& absorbed_failures() {
   static AbsorbedFailures failures;
   return failures;
--- a/relay/stream_io.h
+++ b/relay/stream_io.h
@@ -96,6 +96,9 @@
   return socket;
 }
 
+// Bytes that go out now, without a wait. What fails is found again by the next write.
+std::size_t send_now(int socket, std::string_view bytes);
+
 }  // namespace stream_io_detail
 
 // All bytes, or an error. They have to live until then.
@@ -128,6 +131,17 @@
   }
 }
 
+// The same for what is owed within milliseconds: what the socket takes goes out before this suspends, also
+// behind a short count, and not in a later turn of the event loop.
+template <typename Stream>
+boost::asio::awaitable<boost::system::error_code> write_promptly(StreamUse use, Stream& stream,
+                                                                 std::string_view bytes) {
+  namespace detail = stream_io_detail;
+  bytes.remove_prefix(detail::send_now(detail::socket_of(stream).native_handle(), bytes));
+  if (bytes.empty()) co_return boost::system::error_code();
+  co_return co_await write_all(use, stream, bytes);
+}
+
 // The next connection that stands, or an error that has nothing to do with a single one.
 template <typename Acceptor>
 boost::asio::awaitable<std::tuple<boost::system::error_code, typename Acceptor::protocol_type::socket>>
--- a/tests/prompt_ends_test.cpp
+++ b/tests/prompt_ends_test.cpp
@@ -17,22 +17,29 @@
     environment_["SOAK_WAIT_MS"] = std::to_string(kHoldUp.count());
   }
 
-  SteadyClock::time_point noticed_at(const std::string& id) {
-    return watched_.read([&] { return noticed_at_.at(id); });
+  // The endpoint breaks the only call that the message may have.
+  void expect_told_in_its_turn() {
+    add_host("p1", 3, "plain", [this](tcp::socket&, Request&) {
+      std::this_thread::sleep_for(kQuiet);
+      watched_.change([this] { ended_ = SteadyClock::now(); });
+      return false;
+    });
+    start();
+    ASSERT_EQ(hand_in("m", "refund", 3), 202U);
+    ASSERT_TRUE(wait_notice("m", "given_up"));
+    const auto took = watched_.read([this] { return noticed_at_.at("m") - ended_; });
+    EXPECT_LT(took, kToldWithin + kHoldUp);
   }
+
+  SteadyClock::time_point ended_;
 };
 
-TEST_F(PromptEndsTest, ACallsEndIsToldInItsTurn) {
-  SteadyClock::time_point ended;
-  add_host("p1", 3, "plain", [&](tcp::socket&, Request&) {
-    std::this_thread::sleep_for(kQuiet);
-    watched_.change([&] { ended = SteadyClock::now(); });
-    return false;
-  });
-  start();
-  ASSERT_EQ(hand_in("m", "refund", 3), 202U);
-  ASSERT_TRUE(wait_notice("m", "given_up"));
-  EXPECT_LT(noticed_at("m") - watched_.read([&] { return ended; }), kToldWithin + kHoldUp);
+TEST_F(PromptEndsTest, ACallsEndIsToldInItsTurn) { expect_told_in_its_turn(); }
+
+// The rest of a write that took a single byte waited for another turn (soak, seed 542).
+TEST_F(PromptEndsTest, ACallsEndIsToldInItsTurnThoughItsNoticeIsCut) {
+  environment_["SOAK_SHORT_SENDS"] = "1";
+  expect_told_in_its_turn();
 }
 
 }  // namespace
