Cut no call behind a lost link before the next process can tell of it

A message's call is cut in the old process, and its client told 0.39 s later.

Cause: the link broke behind the hand-over, before the new process had said that it took over. The old one took that for the end of all that knew its calls and cut them at once; the new one, which had what was given over, was held up on its way and read the ends after it.

Change: as long as nobody holds the folder's lock, the calls go on for two hold-ups behind the lost link, and are cut once somebody is the relay. Whoever takes over meanwhile has the calls as open, whether it got what was given over or not.

Why this works: the ends come when there is somebody who reads them, 20 ms later at the latest.

--- a/relay/succession.cpp
+++ b/relay/succession.cpp
@@ -392,6 +392,7 @@
   for (const auto& [token, respond] : std::exchange(handed_in_, {})) respond({Answer::Kind::failed, {}});
   if (given_over_) {
     std::cerr << "myrtlegrade: the link to the new process is lost" << std::endl;
+    link_lost_ = SteadyClock::now();
     watch_heir();
   }
   if (!std::exchange(successor_ready_, false) || given_over_) co_return;
@@ -458,29 +459,6 @@
   std::cerr << "myrtlegrade: gave over" << std::endl;
 }
 
-// One that took over, or a later one: it reads what becomes of the calls from this process's file. The heir's
-// own file tells whether it died. Where it has gone in order, somebody else is the relay, or nobody.
-bool Succession::heir_lives() {
-  if (heir_.empty() || relay_->owner_name().empty()) return false;
-  const auto life = relay_->life_of(heir_);
-  if (life != CallOwners::Life::released) return life == CallOwners::Life::lives;
-  const bool is_free = lock_.try_take();
-  if (is_free) lock_.release();
-  if (!is_free) relay_missing_since_.reset();
-  if (!is_free) return true;
-  // One that takes over may be held up just before it takes the lock.
-  if (!relay_missing_since_) relay_missing_since_ = SteadyClock::now();
-  return SteadyClock::now() - *relay_missing_since_ <= CallOwners::kLongestHoldUp;
-}
-
-void Succession::watch_heir() {
-  if (!heir_lives()) return relay_->successor_gone();
-  usage_timer_.expires_after(kLook);
-  usage_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) watch_heir();
-  });
-}
-
 void Succession::tell_usage() {
   if (!successor_) return;
   successor_->send(Writer(Frame::usage).number(relay_->descriptors()));
--- a/relay/succession.h
+++ b/relay/succession.h
@@ -66,6 +66,8 @@
   bool may_give_over() const;
   void give_over();
   bool heir_lives();
+  bool heir_may_come();
+  bool no_relay_serves();
   void watch_heir();
   void leave_alone();
   void close_successors();
--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -1,10 +1,43 @@
 // Calls that outlive the process that made them: nobody may repeat their messages while their connections are
 // open, whichever of the relay's processes has taken over, died, or been held up meanwhile.
+#include <unistd.h>
+
+#include "coroutine.h"
+#include "frames.h"
 #include "handover_fixture.h"
+#include "link.h"
+#include "state_lock.h"
 
 namespace myrtlegrade::test {
 namespace {
 
+// In the place of a process that stands by.
+boost::asio::awaitable<void> stand_by(Link::Protocol::socket socket, std::optional<Process>& old) {
+  const auto link = std::make_shared<Link>(std::move(socket));
+  const auto descriptor = co_await link->receive_descriptor();
+  if (descriptor) ::close(*descriptor);
+  auto frame = co_await link->receive();
+  while (frame && static_cast<Frame>(frame->front()) != Frame::over) {
+    const Frame kind = static_cast<Frame>(frame->front());
+    if (kind == Frame::hello) {
+      link->send(Writer(Frame::hello).number(kLinkVersion));
+      old->signal(SIGTERM);
+    }
+    if (kind == Frame::prepare) link->send(Writer(Frame::prepared));
+    frame = co_await link->receive();
+  }
+  EXPECT_TRUE(frame) << "nothing was given over";
+  link->close();
+}
+
+void take_what_is_given_over(const std::string& folder, std::optional<Process>& old) {
+  boost::asio::io_context context;
+  Link::Protocol::socket socket(context);
+  socket.connect(Link::place(folder));
+  spawn(context.get_executor(), stand_by(std::move(socket), old));
+  context.run();
+}
+
 // One of two messages of a bulk call has timed out when the process gives over, the other one has not: the
 // call is open, and so holds both back.
 TEST_F(HandoverTest, WhatTimedOutInAnOpenBulkCallIsNotRepeated) {
@@ -186,6 +219,32 @@
   EXPECT_NE(process_->log().find("gave over"), std::string::npos) << process_->log();
 }
 
+// The link breaks before the new process has said that it took over, which is held up for as long as the page
+// allows, twice. What happened: the calls were cut at once, and their messages told only when the new process
+// could read of it (soak, seeds 605 and 649).
+TEST_F(HandoverTest, ALinkThatIsLostAtTheHandOverCutsNoCallBeforeTheNextProcessCanTell) {
+  constexpr auto kTakesOverAfter = 250ms, kToldWithin = 150ms;
+  std::optional<SteadyClock::time_point> closed;
+  add_host("p1", 3, "plain", [&](tcp::socket& socket, Request&) {
+    while (!watched_.read([this] { return over_; }) && is_open(socket.native_handle())) {
+      std::this_thread::sleep_for(1ms);
+    }
+    watched_.change([&] { closed = SteadyClock::now(); });
+    return false;
+  });
+  start_old(6000, 6000);
+  ASSERT_EQ(hand_in("m", "refund", 3), 202U);
+  ASSERT_TRUE(wait_seen("m"));
+  take_what_is_given_over(folder_ / "state", process_);  // and breaks the link
+  std::this_thread::sleep_for(kTakesOverAfter);
+  EXPECT_FALSE(watched_.read([&] { return closed.has_value(); }));
+  StateLock lock(folder_ / "state");
+  while (!lock.try_take()) std::this_thread::sleep_for(1ms);
+  const auto taken_over = SteadyClock::now();
+  ASSERT_TRUE(watched_.wait([&] { return closed.has_value(); }));
+  EXPECT_LT(watched_.read([&] { return *closed; }) - taken_over, kToldWithin);
+}
+
 // The old process is killed while another stands by: the lock on the folder is free before its connections
 // are closed. Not forced: the kernel's order decides.
 TEST_F(HandoverTest, WhatTheKilledProcessHadOutIsRepeatedOnceItsConnectionsAreClosed) {
