--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -52,7 +52,7 @@
   const double at = now();
   std::string rest;
   const auto answer = sent ? read_http(fd, rest, at + 0.4) : std::nullopt;
-  const bool ended = sent && !answer && closed_by_peer(fd);
+  const bool ended = sent && !answer && now() - at < 0.4 && closed_by_peer(fd);  // before the client gives up
   ::close(fd);
   std::lock_guard lock(mutex);
   Message& m = messages[id];
@@ -132,6 +132,7 @@
     }
     Relay next = relay;
     next.settings.admin = free_port();
+    next.settings.known = platform.list();  // as the relay had it most recently
     const pid_t old_process = serving;
     serving = next.start("config-" + std::to_string(u) + ".json");
     const double started = now();
