Hand over no host that left the list, and keep what is known of its destination

Cause: the relay forgets an endpoint's id as soon as the list drops it and its last call ends; the decision module keeps its record up to its next control (0.5 s), and the handover looked up its name.

Change: the export names listed hosts alone, which the relay always knows, and a limit group without one by its destination, so that a told wait outlasts all endpoints of a partner and a handover; that part is behind the former end of the state, older processes ignore it. Same cause elsewhere: a predecessor's call at an endpoint that moved was counted at the partner it serves now; a connection was kept for an endpoint that the end of its call had removed. Names::name says which number it lacks.

Why this works: a host that the module has as listed is in the relay's table, for both apply the same list in the same step.

--- a/adapter/codec.cpp
+++ b/adapter/codec.cpp
@@ -140,6 +140,17 @@
   return at->second;
 }
 
+std::uint32_t Names::detached_number(std::string_view name) {
+  names_.emplace(next_, name);
+  return next_++;
+}
+
+const std::string& Names::name(std::uint32_t number) const {
+  const auto found = names_.find(number);
+  if (found == names_.end()) throw std::out_of_range("no name has the number " + std::to_string(number));
+  return found->second;
+}
+
 void Names::forget(std::uint32_t number) {
   const auto found = names_.find(number);
   if (found == names_.end()) return;
--- a/adapter/codec.h
+++ b/adapter/codec.h
@@ -47,7 +47,10 @@
  public:
   std::uint32_t number(std::string_view name);
   std::optional<std::uint32_t> find(std::string_view name) const;
-  const std::string& name(std::uint32_t number) const { return names_.at(number); }
+  /// Throws std::out_of_range, which names the number, if it was never given out or is forgotten.
+  const std::string& name(std::uint32_t number) const;
+  /// Gives out another number for a name, which find() and number() do not return.
+  std::uint32_t detached_number(std::string_view name);
   void forget(std::uint32_t number);
   /// Detaches the name, which gets another number on its next use. The number keeps the name until it is
   /// forgotten.
--- a/include/vetchhinge/policy.h
+++ b/include/vetchhinge/policy.h
@@ -147,7 +147,10 @@
 
 /// Limit group as passed on by a previous process.
 struct LimitGroupSnapshot : LimitGroupState {
-  HostId host{};  // any host of the group
+  DestinationId destination{};
+  // Any listed host of the group. None: the list names no host of the destination at present, and all its
+  // hosts share this group.
+  std::optional<HostId> host{};
   double baseline_rate = 0, arrival_rate = 0;
   std::vector<std::pair<Time, double>> latencies{};
 };
--- a/relay/endpoints.cpp
+++ b/relay/endpoints.cpp
@@ -238,6 +238,11 @@
   if (const auto slot = list_.find(name(id))) activate(list_.at(*slot).cell, events);
 }
 
+void Endpoints::activate_gone(std::uint64_t cell, Events& events) {
+  if (!list_.has_cell(cell)) recently_gone_.add(cell);
+  activate(cell, events);
+}
+
 void Endpoints::evict(std::uint64_t cell) {
   const auto active = active_.extract(cell);
   if (!active) return;
@@ -283,8 +288,20 @@
   remove_if_unused(id);
 }
 
+// An endpoint that serves another destination now keeps its id there: calls that it got for the previous one
+// belong to an id of their own.
+HostId Endpoints::id_for_predecessor_call(const std::string& name, std::uint64_t cell) {
+  const HostId current = host_id(name);
+  const auto known = hosts_.find(current);
+  if (known == hosts_.end() || known->second.cell == cell) return current;
+  const auto previous = std::ranges::find_if(hosts_, [&](const auto& entry) {
+    return !entry.second.listed && entry.second.cell == cell && this->name(entry.first) == name;
+  });
+  return previous == hosts_.end() ? HostId{dialect_.hosts.detached_number(name)} : previous->first;
+}
+
 HostId Endpoints::add_predecessor_call(const std::string& name, std::uint64_t cell, const std::string& zone) {
-  const HostId id = host_id(name);
+  const HostId id = id_for_predecessor_call(name, cell);
   const auto [host, added] = hosts_.try_emplace(id);
   if (added) {  // it has left the list meanwhile
     host->second.cell = cell;
--- a/relay/endpoints.h
+++ b/relay/endpoints.h
@@ -73,6 +73,8 @@
   void activate(std::uint64_t cell, Events& events);
   // Activates the destination of an endpoint that another process knew.
   void activate(HostId id, Events& events);
+  // Makes a destination active that another process knew, and whose endpoints have all left the list.
+  void activate_gone(std::uint64_t cell, Events& events);
   // Makes a destination inactive after the module has dropped its state.
   void evict(std::uint64_t cell);
 
@@ -87,8 +89,8 @@
 
   void on_call_started(HostId id) { ++hosts_.at(id).attempts_in_flight; }
   void on_call_ended(HostId id);
-  // Adds a call of a predecessor, possibly to an endpoint that is no longer listed. Its destination must be
-  // active.
+  // Adds a call of a predecessor, possibly to an endpoint that is no longer listed, or that serves another
+  // destination by now. The destination of the call must be active.
   HostId add_predecessor_call(const std::string& name, std::uint64_t cell, const std::string& zone);
 
   // Cancels calls that are not sent yet: to one endpoint, or to all that share its limit group, as after a
@@ -129,6 +131,7 @@
   void add_entries_of(std::uint64_t cell, Change& change);
   void add_entry(const valedrum::catalog::Entry& entry, Change& change);
   void finish(Change change, Events& events);
+  HostId id_for_predecessor_call(const std::string& name, std::uint64_t cell);
   void remove_if_unused(HostId id);
 
   vetchhinge::drill::Dialect& dialect_;
--- a/relay/handover_frames.cpp
+++ b/relay/handover_frames.cpp
@@ -1,5 +1,6 @@
 #include "handover_frames.h"
 
+#include <algorithm>
 #include <string>
 
 #include "journal_records.h"
@@ -20,6 +21,72 @@
   return address.address().to_string() + ":" + std::to_string(address.port());
 }
 
+void write_limit_group(RecordWriter& out, const vetchhinge::LimitGroupSnapshot& l) {
+  out.number(static_cast<std::uint64_t>(l.cap)).flag(l.slow).flag(l.failing);
+  out.number(static_cast<std::uint64_t>(l.failure_weight))
+      .number(static_cast<std::uint64_t>(l.consecutive_rejections));
+  out.time(l.rejected_since)
+      .time(l.server_backoff_until)
+      .time(l.local_backoff_until)
+      .real(l.paced_rate)
+      .time(l.paced_rate_cut_at);
+  out.real(l.baseline_p95).real(l.rate_before_outage).real(l.baseline_rate).real(l.arrival_rate);
+  out.number(l.latencies.size());
+  for (const auto& [at, value] : l.latencies) out.time(at).real(value);
+}
+
+enum class GroupsWritten { with_host, without_host };
+
+// A group is identified by the name of a host, or by its destination if it has no host.
+void write_limit_groups(RecordWriter& out, const vetchhinge::LearnedState& learned, GroupsWritten written,
+                        const vetchhinge::drill::Names& hosts) {
+  const auto selected = [written](const vetchhinge::LimitGroupSnapshot& group) {
+    return group.host.has_value() == (written == GroupsWritten::with_host);
+  };
+  out.number(static_cast<std::uint64_t>(std::ranges::count_if(learned.limit_groups, selected)));
+  for (const vetchhinge::LimitGroupSnapshot& group : learned.limit_groups) {
+    if (!selected(group)) continue;
+    if (group.host) out.text(name_of(hosts, *group.host));
+    if (!group.host) out.number(static_cast<std::uint64_t>(group.destination));
+    write_limit_group(out, group);
+  }
+}
+
+void read_limit_group(RecordReader& in, vetchhinge::LimitGroupSnapshot& l) {
+  const auto integer = [&] { return static_cast<int>(in.number()); };
+  l.cap = integer();
+  l.slow = in.flag();
+  l.failing = in.flag();
+  l.failure_weight = integer();
+  l.consecutive_rejections = integer();
+  l.rejected_since = in.time<Time>();
+  l.server_backoff_until = in.time<Time>();
+  l.local_backoff_until = in.time<Time>();
+  l.paced_rate = in.real();
+  l.paced_rate_cut_at = in.time<Time>();
+  l.baseline_p95 = in.real();
+  l.rate_before_outage = in.real();
+  l.baseline_rate = in.real();
+  l.arrival_rate = in.real();
+  for (std::size_t samples = in.count(); samples > 0 && in.good; --samples) {
+    const Time at = in.time<Time>();
+    l.latencies.emplace_back(at, in.real());
+  }
+}
+
+void read_limit_groups(RecordReader& in, vetchhinge::LearnedState& learned, GroupsWritten written,
+                       vetchhinge::drill::Names& hosts) {
+  for (std::size_t n = in.count(); n > 0 && in.good; --n) {
+    auto& group = learned.limit_groups.emplace_back();
+    if (written == GroupsWritten::with_host) {
+      group.host = HostId(hosts.number(in.text()));
+    } else {
+      group.destination = vetchhinge::DestinationId(in.number());
+    }
+    read_limit_group(in, group);
+  }
+}
+
 }  // namespace
 
 RecordWriter write_handover_state(const HandoverState& state, const catalog::EndpointTable& list,
@@ -31,20 +98,7 @@
     out.text(e.id).text(e.kind).text(e.zone).number(e.cell).flag(e.state == catalog::EndpointState::serving);
     out.real(e.weight).text(format_address(to_endpoint(e.address)));
   });
-  out.number(state.learned.limit_groups.size());
-  for (const vetchhinge::LimitGroupSnapshot& l : state.learned.limit_groups) {
-    out.text(name_of(hosts, l.host)).number(static_cast<std::uint64_t>(l.cap)).flag(l.slow).flag(l.failing);
-    out.number(static_cast<std::uint64_t>(l.failure_weight))
-        .number(static_cast<std::uint64_t>(l.consecutive_rejections));
-    out.time(l.rejected_since)
-        .time(l.server_backoff_until)
-        .time(l.local_backoff_until)
-        .real(l.paced_rate)
-        .time(l.paced_rate_cut_at);
-    out.real(l.baseline_p95).real(l.rate_before_outage).real(l.baseline_rate).real(l.arrival_rate);
-    out.number(l.latencies.size());
-    for (const auto& [at, value] : l.latencies) out.time(at).real(value);
-  }
+  write_limit_groups(out, state.learned, GroupsWritten::with_host, hosts);
   out.number(state.learned.hosts.size());
   for (const vetchhinge::HostSnapshot& h : state.learned.hosts) {
     out.text(name_of(hosts, h.host)).flag(h.in_slow_start).flag(h.slow_start_since.has_value());
@@ -66,6 +120,8 @@
     out.flag(a.call_end.has_value());
     if (a.call_end) out.number(static_cast<std::uint64_t>(*a.call_end));
   }
+  // At the end, because processes without this part ignore what follows the calls.
+  write_limit_groups(out, state.learned, GroupsWritten::without_host, hosts);
   return out;
 }
 
@@ -92,28 +148,7 @@
     e.address = *address;
     state.list.entries.put(e);
   }
-  for (std::size_t n = in.count(); n > 0 && in.good; --n) {
-    auto& l = state.learned.limit_groups.emplace_back();
-    l.host = host();
-    l.cap = integer();
-    l.slow = in.flag();
-    l.failing = in.flag();
-    l.failure_weight = integer();
-    l.consecutive_rejections = integer();
-    l.rejected_since = in.time<Time>();
-    l.server_backoff_until = in.time<Time>();
-    l.local_backoff_until = in.time<Time>();
-    l.paced_rate = in.real();
-    l.paced_rate_cut_at = in.time<Time>();
-    l.baseline_p95 = in.real();
-    l.rate_before_outage = in.real();
-    l.baseline_rate = in.real();
-    l.arrival_rate = in.real();
-    for (std::size_t samples = in.count(); samples > 0 && in.good; --samples) {
-      const Time at = in.time<Time>();
-      l.latencies.emplace_back(at, in.real());
-    }
-  }
+  read_limit_groups(in, state.learned, GroupsWritten::with_host, hosts);
   for (std::size_t n = in.count(); n > 0 && in.good; --n) {
     auto& h = state.learned.hosts.emplace_back();
     h.host = host();
@@ -141,6 +176,7 @@
     if (in.flag()) a.reported_result = read_result(in);
     if (in.flag()) a.call_end = static_cast<CallEnd>(in.number());
   }
+  if (!in.empty()) read_limit_groups(in, state.learned, GroupsWritten::without_host, hosts);
   if (!in.good) return std::nullopt;
   return state;
 }
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -176,11 +176,12 @@
                                             : Result::connect_failed;
   if (!call->answered) call->close(call->committed ? CallEnd::broken : CallEnd::not_connected);
   report_remaining(*call, unanswered);
-  report_end(*call, call->answered ? CallEnd::answered : call->end_reason);
   call->finished = true;
   call->timer.cancel();
+  // Before the end is reported: that may be the last use of the host, and close its idle connections.
   if (call->reusable) keep_idle(*call);
   call->connection = nullptr;
+  report_end(*call, call->answered ? CallEnd::answered : call->end_reason);
   calls_.erase(call);
   if (limits_.after_results) limits_.after_results();
 }
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -193,7 +193,7 @@
   void on_owner_exited(const std::string& owner);
   void on_all_owners_exited();
   bool cut_calls();
-  void log_handover(const std::vector<HandedOverAttempt>& calls);
+  void log_handover(const HandoverState& state);
   void log_inherited(const std::vector<HandedOverAttempt>& calls);
   void log_retry(const OpenMessage& open, const AttemptInFlight& attempt);
   void log_recorded_call_end(const std::string& owner, const CallRecord& record);
--- a/relay/relay_calls.cpp
+++ b/relay/relay_calls.cpp
@@ -49,9 +49,14 @@
 
 // --------------------------------------------------------------------------------------- log
 
-void Relay::log_handover(const std::vector<HandedOverAttempt>& calls) {
+void Relay::log_handover(const HandoverState& state) {
+  const auto has_no_host = [](const vetchhinge::LimitGroupSnapshot& group) { return !group.host; };
   std::cerr << "myrtlegrade: hands over messages=" << open_count_ << " calls=" << calls_in_flight_.size()
-            << " messages_out=" << calls.size() << " earlier_calls_open=" << unknown_predecessor_calls_
+            << " messages_out=" << state.in_flight.size()
+            << " earlier_calls_open=" << unknown_predecessor_calls_
+            << " learned_endpoints=" << state.learned.hosts.size()
+            << " learned_groups=" << state.learned.limit_groups.size()
+            << " groups_without_endpoint=" << std::ranges::count_if(state.learned.limit_groups, has_no_host)
             << " owner=" << owners_.name() << std::endl;
   for (const auto& [number, call] : calls_in_flight_) {
     if (!call_log_.allow_line()) continue;
--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -48,7 +48,7 @@
   state.learned = sender_.snapshot(now());
   state.in_flight = calls_in_flight();
   state.unknown_calls_open = unknown_predecessor_calls_;
-  log_handover(state.in_flight);
+  log_handover(state);
   state.leaving = server_.leaving();
   state.descriptors = descriptors();
   state.last_call = last_call_;
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -24,8 +24,10 @@
   if (inherited) release_in_slices(executor_, std::move(config_.known_hosts->entries));
   config_.known_hosts.reset();
   if (inherited) {
-    for (const vetchhinge::LimitGroupSnapshot& limit_group : inherited->learned.limit_groups)
-      endpoints_.activate(limit_group.host, events_);
+    for (const vetchhinge::LimitGroupSnapshot& group : inherited->learned.limit_groups) {
+      if (group.host) endpoints_.activate(*group.host, events_);
+      if (!group.host) endpoints_.activate_gone(static_cast<std::uint64_t>(group.destination), events_);
+    }
     for (const vetchhinge::HostSnapshot& host : inherited->learned.hosts)
       endpoints_.activate(host.host, events_);
     // The decision module registers a host when it is reported as running. Draining hosts are reported so
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -39,19 +39,28 @@
   return found->second;
 }
 
+std::optional<std::size_t> Fleet::find(DestinationId id) const {
+  const auto found = destination_index_.find(id);
+  if (found == destination_index_.end()) return std::nullopt;
+  return found->second;
+}
+
 std::size_t Fleet::destination_for(DestinationId id, const RateMeter& arrivals) {
   const auto [at, added] = destination_index_.try_emplace(id, 0);
   if (added) at->second = store(destinations, take_last(free_destinations_), Destination(id, arrivals));
   return at->second;
 }
 
+void Fleet::add_group(std::size_t destination, const LimitGroup& fresh) {
+  Destination& d = destinations[destination];
+  d.limit_groups.push_back(store(limit_groups, take_highest(free_groups_), fresh));
+  limit_groups[d.limit_groups.back()].destination = destination;
+}
+
 std::size_t Fleet::add(const HostEntry& entry, std::size_t destination, bool own_group,
                        const LimitGroup& fresh) {
   Destination& d = destinations[destination];
-  if (d.limit_groups.empty() || own_group) {
-    d.limit_groups.push_back(store(limit_groups, take_highest(free_groups_), fresh));
-    limit_groups[d.limit_groups.back()].destination = destination;
-  }
+  if (d.limit_groups.empty() || own_group) add_group(destination, fresh);
   Host h;
   h.id = entry.host;
   h.zone = entry.zone;
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -24,9 +24,12 @@
   explicit Fleet(Duration connection_idle) : connection_idle_(connection_idle) {}
 
   std::optional<std::size_t> find(HostId id) const;
+  std::optional<std::size_t> find(DestinationId id) const;
 
   std::size_t destination_for(DestinationId id, const RateMeter& arrivals);
 
+  void add_group(std::size_t destination, const LimitGroup& fresh);
+
   /// Adds a host that was not known to a limit group of its destination; a new group starts as `fresh`.
   std::size_t add(const HostEntry& entry, std::size_t destination, bool own_group, const LimitGroup& fresh);
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -56,7 +56,7 @@
     return std::exchange(actions_, {});
   }
 
-  LearnedState snapshot(Time now) { return vetchhinge::snapshot(fleet_, now); }
+  LearnedState snapshot(Time now) { return vetchhinge::snapshot(fleet_, s_.kinds, now); }
   std::size_t destinations() const { return fleet_.known_destinations(); }
 
  private:
@@ -120,12 +120,16 @@
   std::size_t add_host(const HostEntry& e) {
     const std::size_t d = destination_for(e.destination);
     destinations_[d].kind = e.kind;
+    return fleet_.add(e, d, s_.kinds[e.kind].per_host_limits, fresh_group());
+  }
+
+  LimitGroup fresh_group() const {
     // The destination may have been known before and evicted while at rest (see WorkingSet): its rates begin
     // at 0.
     LimitGroup fresh(initial_cap(s_.slots), latency_window(), RateMeter(kMinRateWindow, started_),
                      RateMeter(kBaselineRateMemory, started_));
     fresh.evaluated_at = started_;
-    return fleet_.add(e, d, s_.kinds[e.kind].per_host_limits, fresh);
+    return fresh;
   }
 
   std::size_t destination_for(DestinationId id) {
@@ -189,6 +193,11 @@
   }
 
   void on(const LearnedState& learned) {
+    for (const LimitGroupSnapshot& group : learned.limit_groups) {
+      if (group.host) continue;
+      const std::size_t d = destination_for(group.destination);
+      if (destinations_[d].limit_groups.empty()) fleet_.add_group(d, fresh_group());
+    }
     for (const std::size_t l : restore(fleet_, learned, now_)) activate(l);
   }
 
