Bound the memory of unfinished requests and answers by limits.memory_mb

Cause: nothing read limits.memory_mb; each of 533 connections might hold a body of 64 KiB, whose string was reserved with the header.

Change: a budget for requests that are being read, a 24th of the limit, beyond 2 KiB for each connection; when it is empty, connections that stalled within a request for 0.25 s are closed, and requests that have arrived completely are read all the same. The same for answers of endpoints, a 32nd.

Why this works: what peers can fill without finishing is bounded for the process, and two processes and the files fit beside each other.

--- a/relay/config.cpp
+++ b/relay/config.cpp
@@ -130,7 +130,11 @@
   const json::object& limits = required_object(root, "limits");
   config.descriptor_limit =
       std::min(static_cast<std::size_t>(required_limit(limits, "sockets")), descriptors);
-  const auto disk_bytes = static_cast<std::uint64_t>(required_limit(limits, "disk_mb") * 1e6);
+  const auto memory_bytes = static_cast<std::uint64_t>(required_limit(limits, "memory_mb") * 1e6);
+  config.memory = MemoryBudgets::of(memory_bytes);
+  // Files count as memory, and the messages in them are held in memory too.
+  const auto disk_bytes = std::min(static_cast<std::uint64_t>(required_limit(limits, "disk_mb") * 1e6),
+                                   max_file_bytes(memory_bytes));
 
   std::ostringstream line;
   config.seed = parse_seed(required_string(root, "seed"));
--- a/relay/config.h
+++ b/relay/config.h
@@ -14,6 +14,7 @@
 #include "copies_config.h"
 #include "fleet_config.h"
 #include "host_list.h"
+#include "memory_budget.h"
 #include "recovery/disk.h"
 #include "vetchhinge/policy.h"
 
@@ -31,6 +32,7 @@
   std::string state_folder;
   std::size_t descriptor_limit = 0;      // `limits.sockets`, capped by the limit of the process
   std::uint64_t journal_disk_bytes = 0;  // disk budget of the journal
+  MemoryBudgets memory;                  // from `limits.memory_mb`
   valedrum::recovery::Durability durability = valedrum::recovery::Durability::process;
   vetchhinge::Settings settings;
   vetchhinge::Duration connect_timeout{};
--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -30,7 +30,8 @@
 constexpr std::size_t kMaxBodyBytes = 64 << 10;
 constexpr std::size_t kMaxHeadBytes = 16 << 10;
 constexpr std::size_t kReadBytes = 4 << 10;
-constexpr int kMaxInterimAnswers = 16;  // 1xx answers before the final one
+constexpr std::size_t kUncountedBytes = 4 << 10;  // of an answer, without a part of the budget
+constexpr int kMaxInterimAnswers = 16;            // 1xx answers before the final one
 // An answer that has begun must be complete within this time; otherwise it counts as invalid.
 constexpr auto kAnswerTimeout = 500ms;
 // Stray bytes behind an answer have arrived this long after it.
@@ -66,6 +67,7 @@
                        OnCallEnd on_call_end)
     : executor_(std::move(executor)),
       limits_(limits),
+      answer_memory_(limits.max_answer_bytes),
       on_result_(std::move(on_result)),
       on_call_end_(std::move(on_call_end)),
       idle_timer_(executor_) {
@@ -271,6 +273,11 @@
   const std::size_t count = error ? connection.read_rest(space) : received;
   if (count == 0) co_return false;
   connection.buffer.commit(count);
+  call.answer_bytes += count;
+  if (call.answer_bytes > kUncountedBytes && !call.memory) {
+    call.memory = answer_memory_.take(kMaxHeadBytes + kMaxBodyBytes);
+    if (!call.memory) co_return false;  // like an answer that is too long
+  }
   if (!std::exchange(call.answer_begun, true)) {
     call.answer_deadline = std::chrono::steady_clock::now() + kAnswerTimeout;
     call.timer.cancel();  // the answer deadline applies from now on
--- a/relay/host_client.h
+++ b/relay/host_client.h
@@ -22,6 +22,7 @@
 #include <vector>
 
 #include "host_list.h"
+#include "memory_budget.h"
 #include "timestamp.h"
 #include "vetchhinge/policy.h"
 
@@ -78,7 +79,8 @@
     // Called just before the last byte of a call is sent, after which the call may run. It records that and
     // returns whether the call may be sent; an empty function allows all calls.
     std::function<bool(const std::vector<CallItem>&)> before_last_byte{};
-    std::string via{};  // this relay's name for the Via header; empty: no header
+    std::size_t max_answer_bytes = 256 << 10;  // memory of all answers, beyond a little for each
+    std::string via{};                         // this relay's name for the Via header; empty: no header
     // Called after results were reported, in the same turn of the event loop. It may call this client.
     std::function<void()> after_results{};
   };
@@ -111,6 +113,7 @@
   // Changes the limits on idle connections and on all connections.
   void set_connection_limits(std::size_t max_idle, std::size_t max_connections);
 
+  const MemoryBudget& answer_memory() const { return answer_memory_; }
   std::size_t calls_in_flight() const { return calls_.size(); }
   std::size_t connection_count() const { return calls_.size() + idle_count_; }
   std::uint64_t connections_opened() const { return opened_; }  // since the process started
@@ -150,6 +153,7 @@
 
   boost::asio::any_io_executor executor_;
   Limits limits_;
+  MemoryBudget answer_memory_;  // must outlive the calls
   OnResult on_result_;
   OnCallEnd on_call_end_;
   boost::asio::steady_timer idle_timer_;
--- a/relay/host_client_call.h
+++ b/relay/host_client_call.h
@@ -98,7 +98,9 @@
   SteadyTime answer_deadline = SteadyTime::max();
   // When the host's kernel must have acknowledged a request that had a write deadline.
   SteadyTime arrival_deadline = SteadyTime::max();
-  bool answered = false;  // the answer was read completely
+  std::size_t answer_bytes = 0;               // received
+  std::optional<MemoryBudget::Lease> memory;  // for a large answer
+  bool answered = false;                      // the answer was read completely
   bool reusable = false;  // the answer was read completely, and the connection may carry another call
   bool finished = false;
 };
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -9,7 +9,6 @@
 #include "admin_server.h"
 #include "message_trace.h"
 #include "slices.h"
-#include "stream_io.h"
 
 namespace myrtlegrade {
 
@@ -33,8 +32,6 @@
 constexpr std::size_t kReservedDescriptors = 20 + AdminServer::kMaxConnections;
 constexpr std::size_t kMinSharedDescriptors = 64;  // however many another process holds
 
-constexpr auto kCounterLogInterval = 5s;
-
 std::size_t share_of(std::size_t descriptors, double share) {
   const std::size_t shared =
       std::max(descriptors, kReservedDescriptors + kMinSharedDescriptors) - kReservedDescriptors;
@@ -71,6 +68,7 @@
            .reads_limit_reports = config_.dialect.share_left && config_.dialect.calls_per_second,
            .before_last_byte =
                [this](const std::vector<CallItem>& items) { return record_before_last_byte(items); },
+           .max_answer_bytes = config_.memory.answers,
            .via = config_.copies ? config_.name : "",
            .after_results = [this] { decide_due_completions(); }},
           [this](HostId host, const CallItem& item, const CallResult& result) {
@@ -87,7 +85,7 @@
           [this](const std::string& message) { on_notice_settled(message); }),
       server_(
           executor, std::move(listening), share_of(config_.descriptor_limit, kClientShare),
-          [this] { return ready(); },
+          config_.memory.requests, [this] { return ready(); },
           [this](SubmittedMessage message, Server::Respond respond) {
             submit(std::move(message), std::move(respond));
           },
@@ -478,31 +476,4 @@
   if (const auto later = deferred_ownership_.extract(name)) on_ownership_gained(later.mapped());
 }
 
-// --------------------------------------------------------------------------------------- log
-
-// Logs the counters if they have changed, so that an idle relay writes nothing.
-void Relay::log_counters() {
-  if (counters_ == logged_counters_) return;
-  logged_counters_ = counters_;
-  const JournalUsage journal = journal_.usage();
-  std::cerr << "myrtlegrade: " << counters_ << " held=" << open_count_
-            << " calls_out=" << host_client_.calls_in_flight()
-            << " connections=" << host_client_.connection_count()
-            << " opened=" << host_client_.connections_opened() << " clients=" << server_.connections()
-            << " journal=" << journal.file_bytes << " journal_live=" << journal.live_bytes
-            << " journal_reserved=" << journal.reserved_bytes << " compactions=" << journal.compactions
-            << " compactions_without_room=" << journal.compactions_without_room << std::endl;
-  const std::string absorbed = to_text(absorbed_failures());
-  if (!absorbed.empty()) std::cerr << "myrtlegrade: absorbed: " << absorbed << std::endl;
-}
-
-void Relay::schedule_counter_log() {
-  log_timer_.expires_after(kCounterLogInterval);
-  log_timer_.async_wait([this](boost::system::error_code error) {
-    if (error) return;
-    log_counters();
-    schedule_counter_log();
-  });
-}
-
 }  // namespace myrtlegrade
--- a/relay/server.h
+++ b/relay/server.h
@@ -6,7 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/error.hpp>
-#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
@@ -14,47 +14,17 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <unordered_set>
 
+#include "client_protocol.h"
 #include "event_log.h"
 #include "host_list.h"
-#include "timestamp.h"
+#include "memory_budget.h"
 
 namespace myrtlegrade {
 
-// A message as a client submitted it.
-struct SubmittedMessage {
-  std::string id;
-  std::string cls;
-  std::uint64_t destination = 0;
-  std::string key;  // empty if none was given
-  std::string body;
-  Timestamp deadline;  // the client's timeout, from the arrival of the request's last byte
-};
-
-// The answer to a submitted message. The outer names of the kinds are those of name_of().
-struct Answer {
-  enum class Kind {
-    accepted,
-    refused,
-    failed,
-    unknown_class,
-    unknown_destination,
-    key_missing,
-    other_content
-  };
-  Kind kind = Kind::accepted;
-  std::chrono::milliseconds retry_after{};  // with refused and unknown_destination; 0 if none is sent
-};
-
-// Returns the outer name of a kind: that of its enumerator, but "taken" for accepted.
-std::string_view name_of(Answer::Kind kind);
-
 class Server {
  public:
-  using Request = boost::beast::http::request<boost::beast::http::string_body>;
-  using Response = boost::beast::http::response<boost::beast::http::string_body>;
   // Must be called exactly once for each message, either at once or later.
   using Respond = std::function<void(Answer)>;
   // Returns what the health check reports.
@@ -63,8 +33,9 @@
   // Called when the client went away before the answer that its message is accepted reached it.
   using OnUndeliveredResponse = std::function<void(const std::string& id)>;
 
+  // `max_request_bytes` bounds the memory of all requests that are being read, beyond a little for each.
   Server(boost::asio::any_io_executor executor, boost::asio::ip::tcp::acceptor listening,
-         std::size_t max_connections, Ready ready, OnSubmit on_submit,
+         std::size_t max_connections, std::size_t max_request_bytes, Ready ready, OnSubmit on_submit,
          OnUndeliveredResponse on_undelivered_response);
   ~Server();
 
@@ -84,21 +55,34 @@
   void join() { leaving_ = false; }
   bool leaving() const { return leaving_; }
   std::size_t connections() const { return open_sessions_; }
+  const MemoryBudget& request_memory() const { return request_memory_; }
+  std::uint64_t shed_for_memory() const { return shed_for_memory_; }
   Endpoint address() const { return acceptor_.local_endpoint(); }
   int listening_descriptor() { return acceptor_.native_handle(); }
 
+  struct Session;  // server_session.h
+
  private:
-  struct Session;
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using HeaderParser = boost::beast::http::request_parser<boost::beast::http::empty_body>;
 
   boost::asio::awaitable<void> accept();
   boost::asio::awaitable<void> serve(std::shared_ptr<Session> session);
   boost::asio::awaitable<void> serve_requests(Session& session);
-  boost::asio::awaitable<boost::beast::error_code> read_request(Session& session, Parser& parser);
+  enum class RequestPart { header, all };
+  template <typename AnyParser>
+  boost::asio::awaitable<boost::beast::error_code> read_part(Session& session, AnyParser& parser,
+                                                             RequestPart part);
+  boost::asio::awaitable<boost::beast::error_code> read_request(Session& session,
+                                                                std::optional<Parser>& parser);
+  boost::asio::awaitable<bool> take_memory(Session& session, std::size_t bytes,
+                                           std::optional<std::size_t> missing);
+  bool shed_stalled_request();
+  void shed(Session& session);
   boost::asio::awaitable<void> linger_and_close(Session& session);
   boost::asio::awaitable<Answer> submit(SubmittedMessage message);
-  std::optional<Response> answer_directly(Request& request, const Timestamp& last_byte,
-                                          SubmittedMessage& message) const;
+  std::optional<ClientResponse> answer_directly(ClientRequest& request, const Timestamp& last_byte,
+                                                SubmittedMessage& message) const;
   void send_internal_error(Session& session);
   void log_late_close(const Session& session);
   bool shed_connection();
@@ -108,6 +92,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer accept_timer_;
   std::size_t max_connections_;
+  MemoryBudget request_memory_;
+  std::uint64_t shed_for_memory_ = 0;  // connections
   Ready ready_;
   OnSubmit on_submit_;
   OnUndeliveredResponse on_undelivered_response_;
--- a/tests/relay_fixture.h
+++ b/tests/relay_fixture.h
@@ -179,40 +179,41 @@
                           {"idempotency", effect}, {"keyScope", "all"}, {"lateWorth", 0.5},
                           {"window", 6000.0},      {"worth", 1.0}};
     };
-    return {{"name", "n0"},
-            {"listen", "127.0.0.1:0"},
-            {"discovery", discovery_->address()},
-            {"seed", "8c1f30d27a5be964"},
-            {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 128}, {"disk_mb", disk_mb_}}},
-            {"known", list()},
-            {"unheard_of", 1},
-            {"settings",
-             {{"allowed",
-               {{"connIdle", 9000.0},
-                {"connectTimeout", 1500.0},
-                {"maxAttempts", 4},
-                {"maxOpen", 40},
-                {"maxRetryAfter", 900.0},
-                {"retryAfter", true}}},
-              {"classes",
-               {cls("note", "idempotent"), cls("receipt", "deduplicated"), cls("refund", "at_most_once")}},
-              {"discovery", "subscribe"},
-              {"familyInfo",
-               {{"kindApart", {false, false}},
-                {"kindBatch", {10, 1}},
-                {"losesWorth", "halving"},
-                {"workers", 12}}},
-              {"hostTypes", {"bulk", "plain"}},
-              {"overShareWorth", 0.1},
-              {"rules",
-               {{"overloadFactor", 2.0},
-                {"overloadFor", 3000.0},
-                {"startCapacity", 0.2},
-                {"warmAfter", 9000.0},
-                {"askWithin", 10000.0}}},
-              {"stats", {{"fields", json::array()}}},
-              {"tick", 5.0},
-              {"weights", "off"}}}};
+    return {
+        {"name", "n0"},
+        {"listen", "127.0.0.1:0"},
+        {"discovery", discovery_->address()},
+        {"seed", "8c1f30d27a5be964"},
+        {"limits", {{"cores", 1.0}, {"memory_mb", memory_mb_}, {"sockets", sockets_}, {"disk_mb", disk_mb_}}},
+        {"known", list()},
+        {"unheard_of", 1},
+        {"settings",
+         {{"allowed",
+           {{"connIdle", 9000.0},
+            {"connectTimeout", 1500.0},
+            {"maxAttempts", 4},
+            {"maxOpen", 40},
+            {"maxRetryAfter", 900.0},
+            {"retryAfter", true}}},
+          {"classes",
+           {cls("note", "idempotent"), cls("receipt", "deduplicated"), cls("refund", "at_most_once")}},
+          {"discovery", "subscribe"},
+          {"familyInfo",
+           {{"kindApart", {false, false}},
+            {"kindBatch", {10, 1}},
+            {"losesWorth", "halving"},
+            {"workers", 12}}},
+          {"hostTypes", {"bulk", "plain"}},
+          {"overShareWorth", 0.1},
+          {"rules",
+           {{"overloadFactor", 2.0},
+            {"overloadFor", 3000.0},
+            {"startCapacity", 0.2},
+            {"warmAfter", 9000.0},
+            {"askWithin", 10000.0}}},
+          {"stats", {{"fields", json::array()}}},
+          {"tick", 5.0},
+          {"weights", "off"}}}};
   }
 
   void start(std::optional<json::object> changed = std::nullopt) {
@@ -303,6 +304,7 @@
   std::map<std::string, std::string>
       environment_;  // of the relay, besides its state folder and configuration
   double disk_mb_ = 3;
+  int memory_mb_ = 192, sockets_ = 128;
   Watched watched_;
   bool test_over_ = false, released_ = false;
   int notices_to_fail_ = 0;
