Use no kept connection for notices that holds bytes, and force the rest behind each answer

Cause: bytes behind an answer were looked for in the read that ended it, and by a handler while the connection rested. A notice sent in the same turn of the event loop met the copy as its answer.

Evidence: forced with a copy, in one read and in two (NoticeSender.WhatFollowsAnAnswerSettlesNoOtherNotice): without the check the second notice is settled by what followed the first.

Change: a kept connection is used only if it holds nothing and is not at its end; the answer's body is bounded. Tests for calls, single and bulk (AnswersTest), lists and the second address (StrayBytes*), in one read and in several; these held before.

Measured: NoticeSender*, AnswersTest*, StrayBytes* passed on this tree.

--- a/relay/notice_sender.cpp
+++ b/relay/notice_sender.cpp
@@ -1,5 +1,7 @@
 #include "notice_sender.h"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -24,6 +26,7 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxNoticesPerCall = 64;
+constexpr std::uint64_t kMaxAnswerBytes = 64 << 10;
 constexpr auto kMaxTryTimeout = 200ms;
 constexpr int kPausesBeforeDeadline = 32;  // a pause is 1/32 of the time left, within bounds
 constexpr auto kMinRetryPause = 2ms;       // before the deadline
@@ -182,8 +185,16 @@
   }
 }
 
+// Returns whether the kept connection holds bytes, which would be taken for the answer to the next notices,
+// or its end.
+bool NoticeSender::has_stray_bytes() const {
+  char byte = 0;
+  return ::recv(stream_->socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+}
+
 // Sends the first `count` notices in one call, on the kept connection or on a new one.
 asio::awaitable<NoticeSender::Outcome> NoticeSender::try_once(std::size_t count) {
+  if (connected_ && has_stray_bytes()) drop_connection();
   const bool fresh = !stream_;
   if (fresh) stream_ = std::make_shared<beast::tcp_stream>(executor_);
   const Stream stream = stream_;
@@ -196,6 +207,7 @@
     failed = co_await write_promptly(StreamUse::notices, *stream, bytes);
   }
   http::response_parser<http::string_body> answer;
+  answer.body_limit(kMaxAnswerBytes);
   beast::flat_buffer buffer;
   if (!failed && stream_ == stream) {
     const auto [error, size] = co_await http::async_read(*stream, buffer, answer, kAwait);
--- a/relay/notice_sender.h
+++ b/relay/notice_sender.h
@@ -64,6 +64,7 @@
   std::string request(std::size_t count) const;
   void settle(std::size_t count);
   void drop_connection();
+  bool has_stray_bytes() const;
   Clock::duration time_left() const;
   Clock::duration time_left_for_tries() const;
   Clock::duration try_timeout() const;
--- a/tests/notice_sender_test.cpp
+++ b/tests/notice_sender_test.cpp
@@ -4,6 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <string>
+#include <thread>
 #include <vector>
 
 #include "budgets.h"
@@ -47,5 +50,46 @@
   EXPECT_LT(least, budgets::kNoticeRetryWindow / budgets::kMinNoticeTries);
 }
 
+// An answer's copy, or noise behind it, was taken for the answer to the next notice if that was sent in the
+// same turn of the event loop.
+TEST(NoticeSender, WhatFollowsAnAnswerSettlesNoOtherNotice) {
+  const std::string accepted = "HTTP/1.1 204 No Content\r\n\r\n";
+  for (const std::string& rest : {accepted, std::string("noise")}) {
+    for (const bool in_one_read : {true, false}) {
+      Watched watched;
+      int requests = 0;
+      bool answered = false;
+      Peer platform([&](tcp::socket& socket, Request&) {
+        int number = 0;
+        watched.change([&] { number = ++requests; });
+        if (number > 1) return answer(socket, number > 2 ? 204 : 500);  // the second notice fails at first
+        boost::asio::write(socket, boost::asio::buffer(in_one_read ? accepted + rest : accepted));
+        if (!in_one_read) {
+          std::this_thread::sleep_for(5ms);
+          boost::asio::write(socket, boost::asio::buffer(rest));
+        }
+        watched.change([&] { answered = true; });
+        return true;
+      });
+      const std::string address = platform.address();
+      const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+      boost::asio::io_context context;
+      std::vector<std::string> settled;
+      NoticeSender sender(context.get_executor(), {boost::asio::ip::address_v4::loopback(), port},
+                          [&](const std::string& id) { settled.push_back(id); });
+      sender.send({"first", false, {}});
+      while (settled.empty()) context.run_one();
+      ASSERT_TRUE(watched.wait([&] { return answered; }));
+      std::this_thread::sleep_for(2ms);  // the rest has arrived, and no handler has seen it
+      sender.send({"second", false, {}});
+      const auto until = SteadyClock::now() + 5s;
+      while (settled.size() < 2 && SteadyClock::now() < until) context.run_one_for(10ms);
+      EXPECT_EQ(settled, (std::vector<std::string>{"first", "second"}));
+      EXPECT_EQ(watched.read([&] { return requests; }), 3)
+          << "the second was settled by what followed the first";
+    }
+  }
+}
+
 }  // namespace
 }  // namespace myrtlegrade::test
