Put the table's test of moved endpoints beside the others of its kind

Need: duplicates showed the same fixture in two files. Change: one test moves to list_test.cpp, as strict as before.

--- a/tests/gone_endpoints_test.cpp
+++ b/tests/gone_endpoints_test.cpp
@@ -1,9 +1,5 @@
 // Tests that endpoints which left the list, or moved to another destination, are named by nothing that still
 // refers to them: a handover, a call in flight or a kept connection.
-#include <boost/asio/io_context.hpp>
-
-#include "config_reader.h"
-#include "endpoints.h"
 #include "upgrade_fixture.h"
 
 namespace myrtlegrade::test {
@@ -75,56 +71,5 @@
   EXPECT_LE(count_deliveries("w"), 1U);
 }
 
-class GoneEndpointsTableTest : public testing::Test {
- protected:
-  GoneEndpointsTableTest() {
-    dialect_.kinds.number("plain");
-    settings_.kinds.resize(1);
-  }
-  ~GoneEndpointsTableTest() override { fs::remove_all(folder_); }
-  void apply_list(std::initializer_list<std::pair<const char*, std::uint64_t>> cells) {
-    valedrum::catalog::EndpointTable table;
-    for (const auto& [id, cell] : cells) {
-      valedrum::catalog::Entry entry;
-      entry.id = id;
-      entry.cell = cell;
-      entry.kind = "plain";
-      entry.zone = "a";
-      table.put(entry);
-    }
-    endpoints_.replace_list(1, std::move(table), vetchhinge::HostList::Kind::whole, events_);
-  }
-  fs::path folder_ = []() -> fs::path {
-    std::string pattern = fs::temp_directory_path() / "endpoints-XXXXXX";
-    return ::mkdtemp(pattern.data());
-  }();
-  boost::asio::io_context context_;
-  vetchhinge::drill::Dialect dialect_;
-  vetchhinge::Settings settings_;
-  Journal journal_{folder_.string(), 1'000'000};
-  HostClient client_{context_.get_executor(),
-                     {},
-                     [](vetchhinge::HostId, const CallItem&, const CallResult&) {},
-                     [](std::uint64_t, CallEnd) {}};
-  Endpoints endpoints_{dialect_, settings_, journal_, client_};
-  Endpoints::Events events_;
-};
-
-// A predecessor's call was counted at the destination that the endpoint serves now, and so was its answer.
-TEST_F(GoneEndpointsTableTest, APredecessorsCallStaysAtTheDestinationThatItWasMadeFor) {
-  apply_list({{"moved", 2}, {"other", 1}});
-  const auto now_at = endpoints_.host_id("moved");
-  const auto call_at = endpoints_.add_predecessor_call("moved", 1, "a");
-  EXPECT_NE(call_at, now_at);
-  EXPECT_EQ(endpoints_.at(call_at).cell, 1U);
-  EXPECT_EQ(endpoints_.name(call_at), "moved");
-  EXPECT_EQ(endpoints_.at(now_at).attempts_in_flight, 0U);
-  EXPECT_EQ(endpoints_.add_predecessor_call("moved", 1, "a"), call_at) << "one host for all its calls";
-  endpoints_.on_call_ended(call_at);
-  endpoints_.on_call_ended(call_at);
-  EXPECT_EQ(endpoints_.host_id("moved"), now_at);
-  EXPECT_TRUE(endpoints_.at(now_at).listed);
-}
-
 }  // namespace
 }  // namespace myrtlegrade::test
--- a/tests/list_test.cpp
+++ b/tests/list_test.cpp
@@ -183,6 +183,21 @@
   EXPECT_NE(whole.entries[0].host, moved.entries[1].host);
 }
 
+// A predecessor's call was counted at the destination that the endpoint serves now, and so was its answer.
+TEST_F(EndpointsTest, APredecessorsCallStaysAtTheDestinationThatItWasMadeFor) {
+  const HostId now_at = apply_list({{"moved", 2}, {"other", 1}}, true).entries.at(0).host;
+  const HostId call_at = endpoints_.add_predecessor_call("moved", 1, "a");
+  EXPECT_NE(call_at, now_at);
+  EXPECT_EQ(endpoints_.at(call_at).cell, 1U);
+  EXPECT_EQ(endpoints_.name(call_at), "moved");
+  EXPECT_EQ(endpoints_.at(now_at).attempts_in_flight, 0U);
+  EXPECT_EQ(endpoints_.add_predecessor_call("moved", 1, "a"), call_at) << "one host for all its calls";
+  endpoints_.on_call_ended(call_at);
+  endpoints_.on_call_ended(call_at);
+  EXPECT_EQ(endpoints_.host_id("moved"), now_at);
+  EXPECT_TRUE(endpoints_.at(now_at).listed);
+}
+
 TEST_F(EndpointsTest, ADestinationThatGoesWithACallOutComesBackUnderAnotherAddress) {
   const HostId host = apply_list({{"a", 1}, {"b", 2}}, true).entries.at(0).host;
   endpoints_.on_call_started(host);
