Return budgets' leases before their owners end

Cause: on exit the event loop outlives the relay, and a session or call in it would have returned its lease to a budget that is gone (found by reading). Change: the owners return them in their destructors.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -76,7 +76,10 @@
 
 // Calls in flight end abruptly, as if the process had been killed.
 HostClient::~HostClient() {
-  for (const auto& call : calls_) call->close(CallEnd::cut);
+  for (const auto& call : calls_) {
+    call->close(CallEnd::cut);
+    call->memory.reset();  // the event loop may keep the call for longer than the budget exists
+  }
 }
 
 void HostClient::call(std::uint64_t number, HostId host, const Endpoint& address,
--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -80,7 +80,10 @@
       on_undelivered_response_(std::move(on_undelivered_response)),
       idle_timer_(executor_) {}
 
-Server::~Server() = default;
+// The event loop may keep connections for longer than their budget exists.
+Server::~Server() {
+  for (const auto& session : sessions_) session->memory.reset();
+}
 
 void Server::start() { spawn(executor_, accept()); }
 
