--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -511,6 +511,12 @@
     """Runs `case(world)`, a coroutine that returns a list of broken rules, and exits as the review asks."""
     world = World()
     code = 2
+
+    def end(*_):
+        raise SystemExit("ended by a signal")
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # broken connections are part of a case
     try:
         random.seed()
@@ -519,7 +525,7 @@
             world.record.add("BROKEN", rule=line)
             print(line)
         code = 1 if broken else 0
-    except Exception as e:  # the case could not run
+    except (Exception, SystemExit) as e:  # the case could not run
         print(f"could not run: {type(e).__name__}: {e}", file=sys.stderr)
         world.record.add("could_not_run", why=repr(e))
         if os.environ.get("KEEP"):
