--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A relay's machine is cut off twice, for 2.5 s each. What the relay refused then is run by another relay, and once more
+"""A relay's machine is cut off twice, for 1.3 s each. What the relay refused then is run by another relay, and once more
 when its client, told that this is harmless, hands it in again."""
 import asyncio
 import os
@@ -10,8 +10,8 @@
 from copying import cut_off, three_relays, wait_until_copied
 from standins import Client, main, trouble
 
-WAY_S = 0.04         # one way, within a room: the site's same_ms = [15, 45]
-CUT_S = 2.5          # the page's partition lasts 6 s
+WAY_S = 0.03         # one way, within a room: the site's same_ms = [15, 45]
+CUT_S = 1.3          # the page's partition lasts 6 s
 CUTS = (3.0, 14.0)   # "two cuts", a little later each, by chance
 HAND_IN_S = 20.0
 REQUESTS_PER_S = 40  # "some tens of requests a second at most"
