Refuse work that may not run twice only when no other relay can run it

What callers saw: a relay with copies whose machine was cut off answered 503 for work whose body had reached the holder of its copies.

Change: such a refusal waits for the withdrawal's acknowledgement, 30 ms behind answer_ms at most, and is a failure otherwise. Bodies that never left and classes that may run twice are refused as before. The same for messages lost to an heir, refusals by the module, keyed hand-backs, and upgrades, where the old process lets acceptances settle before it hands over.

--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -233,6 +233,11 @@
   return joined ? joined->group.is_owner() : local_only_.contains(id);
 }
 
+bool Copies::was_sent(const std::string& id) const {
+  const JoinedGroup* joined = find_group(id);
+  return joined && joined->sent_bodies.contains(id);
+}
+
 // --------------------------------------------------------------------------------------------- tickets
 
 std::uint64_t Copies::wait_for(Time now, std::vector<std::string> ids, Requirement requirement) {
@@ -241,6 +246,10 @@
     const Item* item = requirement == Requirement::notice ? find(id) : nullptr;
     if (item) deadline = std::clamp(item->deadline + kOwnerGracePeriod, now, deadline);
   }
+  return wait_until(deadline, std::move(ids), requirement);
+}
+
+std::uint64_t Copies::wait_until(Time deadline, std::vector<std::string> ids, Requirement requirement) {
   tickets_.push_back({++last_ticket_, std::move(ids), requirement, deadline});
   return last_ticket_;
 }
@@ -250,7 +259,9 @@
     const JoinedGroup* joined = find_group(id);
     const Item* item = joined ? joined->group.find(id) : nullptr;
     if (!item && local_only_.contains(id)) continue;
-    if (!item || !joined->group.is_owner() || (item->completed && ticket.requirement != Requirement::notice))
+    const bool after_completion =
+        ticket.requirement == Requirement::notice || ticket.requirement == Requirement::withdrawal;
+    if (!item || !joined->group.is_owner() || (item->completed && !after_completion))
       return TicketState::failed;
     if (ticket.requirement == Requirement::acceptance) {
       if (joined->group.replica_count(id, true) >= joined->config.copies) continue;
@@ -266,8 +277,7 @@
     if (first_attempt && joined->group.replica_count(id, true) < joined->config.copies)
       return TicketState::waiting;
     const bool replicated = joined->group.holds_lease(now) && joined->group.replica_count(id, false) > 0;
-    if (ticket.requirement == Requirement::notice ? !replicated : !joined->group.may_call(id, now))
-      return TicketState::waiting;
+    if (after_completion ? !replicated : !joined->group.may_call(id, now)) return TicketState::waiting;
   }
   return TicketState::succeeded;
 }
@@ -291,7 +301,7 @@
   for (Ticket& ticket : tickets_) {
     TicketState state = evaluate(now, ticket);
     if (state == TicketState::waiting && now >= ticket.deadline) {
-      on_ticket_timeout(now, ticket);
+      if (ticket.requirement != Requirement::withdrawal) on_ticket_timeout(now, ticket);
       state = TicketState::failed;
     }
     if (state == TicketState::failed && ticket.requirement == Requirement::acceptance &&
@@ -390,6 +400,7 @@
 
 void Copies::connected(Time now, const std::string& name) {
   clock_offsets_.erase(name);
+  disconnected_.erase(name);
   for (auto at = groups_.begin(); at != groups_.end(); ++at) {
     const MemberIndex p = index_of(at->second.config, name);
     if (p >= kGroupSize || p == at->second.group.role().index) continue;
@@ -425,6 +436,7 @@
     joined.expiry_queue.update(id, item);
     if (!item) {
       group_by_message_.erase(id);
+      joined.sent_bodies.erase(id);
       continue;
     }
     group_by_message_.emplace(id, at->first);
@@ -448,14 +460,23 @@
     }
   }
   for (auto& [to, message] : group.take_messages()) {
-    if (joined.forgot_group[to]) continue;
-    const MemberIdentity& member = joined.config.members[to];
-    auto& [receiver, envelopes] = outgoing_[member.name];
-    receiver = member;
-    const bool include_config = message.kind == GroupMessageKind::append && !joined.knows_group[to];
-    envelopes.push_back(
-        {at->first, include_config ? std::optional(joined.config) : std::nullopt, std::move(message)});
+    if (!joined.forgot_group[to]) add_outgoing(at, to, std::move(message));
+  }
+}
+
+void Copies::add_outgoing(Groups::iterator at, MemberIndex to, GroupMessage message) {
+  JoinedGroup& joined = at->second;
+  const MemberIdentity& member = joined.config.members[to];
+  if (joined.group.role().index == 0 && !disconnected_.contains(member.name)) {
+    for (const auto& [id, item] : message.items) {
+      if (item.payload) joined.sent_bodies.insert(id);
+    }
   }
+  auto& [receiver, envelopes] = outgoing_[member.name];
+  receiver = member;
+  const bool include_config = message.kind == GroupMessageKind::append && !joined.knows_group[to];
+  envelopes.push_back(
+      {at->first, include_config ? std::optional(joined.config) : std::nullopt, std::move(message)});
 }
 
 void Copies::expire_messages(Time now, JoinedGroup& joined) {
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -141,9 +141,12 @@
              // the condition of `acceptance`
     notice,  // another member has the newest state, and this one holds the lease; waits no longer than a
              // holder would before it sends the notice itself
+    withdrawal,  // as for a notice; the message was never accepted, and a client waits until the deadline
   };
   // Returns a ticket; a later take_events() returns its TicketCompleted event.
   std::uint64_t wait_for(Time now, std::vector<std::string> ids, Requirement requirement);
+  // The same, with a deadline of the caller's choice.
+  std::uint64_t wait_until(Time deadline, std::vector<std::string> ids, Requirement requirement);
   // Returns whether the last attempt of the message may be sent now. False for a forgotten message, whose
   // deadline is long past: a process that was stopped may resume with it.
   bool may_call(Time now, const std::string& id) const;
@@ -152,11 +155,16 @@
   const Item* find(const std::string& id) const;
   // Returns whether this relay may act on the message, including messages that no other member stores.
   bool is_owner(const std::string& id) const;
+  // Returns whether the body of a message that was added here has left for another member, which then may
+  // store it and become its owner.
+  bool was_sent(const std::string& id) const;
 
   // ------------------------------------------------------------------ other members
   void receive(Time now, const std::string& from, const Frame& frame);
   // Handles a new connection to the member: everything it has not acknowledged is sent again.
   void connected(Time now, const std::string& name);
+  // Notes that there is no connection to the member: frames to it are dropped until connected().
+  void disconnected(const std::string& name) { disconnected_.insert(name); }
 
   void wake(Time now);
   Time next_wake() const;
@@ -195,9 +203,10 @@
     GroupConfig config;
     Group group;
     Time opened_at{}, last_received_at{};
-    bool sealed = false;                          // accepts no new messages
-    std::array<bool, kGroupSize> knows_group{};   // has answered in the group
-    std::array<bool, kGroupSize> forgot_group{};  // no longer knows the group
+    bool sealed = false;                               // accepts no new messages
+    std::array<bool, kGroupSize> knows_group{};        // has answered in the group
+    std::array<bool, kGroupSize> forgot_group{};       // no longer knows the group
+    std::set<std::string, std::less<>> sent_bodies{};  // messages whose bodies left for another member
     ExpiryQueue expiry_queue{};
     Time next_expiry() const { return expiry_queue.next(group.owner_silent_from()); }
   };
@@ -216,6 +225,7 @@
   const JoinedGroup* find_group(const std::string& id) const;
   template <typename Change>
   void update_item(Time now, const std::string& id, Change&& change);
+  void add_outgoing(Groups::iterator at, MemberIndex to, GroupMessage message);
   // Collects records, events and outgoing messages after any operation on the group.
   void collect_output(Groups::iterator at);
   void expire_messages(Time now, JoinedGroup& joined);
@@ -237,6 +247,7 @@
   std::vector<Candidate> candidates_;
   std::map<std::string, Time, std::less<>> avoided_until_;         // by member name
   std::map<std::string, ClockOffset, std::less<>> clock_offsets_;  // by member name, per connection
+  std::set<std::string, std::less<>> disconnected_;                // names of members
   Groups groups_;
   std::vector<std::optional<GroupId>> current_groups_;  // by shard
   std::map<std::string, GroupId, std::less<>> group_by_message_;
--- a/relay/budgets.h
+++ b/relay/budgets.h
@@ -34,6 +34,9 @@
 // The kernel reports arrival times with the resolution of its timer tick, at most 10 ms.
 inline constexpr auto kKernelTimerTick = 10ms;
 
+// After the wait for the copies of a message that is not accepted: until other relays know that.
+inline constexpr auto kRefusalRecordTimeout = 30ms;
+
 // ---------------------------------------------------------------------------------------------- notices
 
 // Reserved for the transmission of a notice and the platform's answer.
--- a/relay/copy_net.cpp
+++ b/relay/copy_net.cpp
@@ -120,6 +120,9 @@
 }
 
 void CopyNet::set_candidates(std::vector<copies::Candidate> all) {
+  for (const copies::Candidate& candidate : all) {
+    if (!peers_[candidate.identity.name].stream) copies_->disconnected(candidate.identity.name);
+  }
   copies_->set_candidates(now(), std::move(all));
   flush();
 }
@@ -333,7 +336,9 @@
   }
   stream->close();
   Peer& peer = peers_[from];
-  if (peer.stream == stream) peer.stream = nullptr;
+  if (peer.stream != stream) co_return;
+  peer.stream = nullptr;
+  copies_->disconnected(from);
 }
 
 std::string CopyNet::state() const {
--- a/relay/copy_net.h
+++ b/relay/copy_net.h
@@ -38,6 +38,7 @@
   // Listens and connects. Retries while the address is still in use, as it is during a handover.
   void start();
   void stop();
+  bool stopped() const { return stopped_; }
 
   valedrum::copies::Copies& copies() { return *copies_; }
   // The time on CLOCK_BOOTTIME, which also advances while the process or its machine is suspended.
--- a/relay/handover.cpp
+++ b/relay/handover.cpp
@@ -32,6 +32,9 @@
 // Time for a process that has just died to release the listening address, or for the system to have free
 // descriptors again.
 constexpr auto kAddressTimeout = 6s;
+// A handover waits this long for messages that wait for their acceptance, and checks for them this often.
+constexpr auto kSettleTimeout = 250ms;
+constexpr auto kSettlePollInterval = 2ms;
 constexpr auto kUsageInterval = 50ms;
 constexpr auto kListenRetryInterval = 100ms;
 constexpr auto kFreeSpaceInterval = 5s;  // between updates of the free space for copies
@@ -91,6 +94,7 @@
 // must not turn an upgrade into a restart.
 void Handover::wait_for_link() {
   waiting_for_link_ = true;
+  relay_->pause_submissions(false);
   prepare_timer_.expires_at(
       std::min(SteadyClock::now() + kLinkReconnectTimeout, end_requested_at_ + kHandoverTimeout));
   prepare_timer_.async_wait([this](boost::system::error_code error) {
@@ -125,6 +129,7 @@
 void Handover::drain_without_successor() {
   successor_ready_ = false;
   if (const LinkPtr link = std::exchange(successor_, nullptr)) link->close();
+  relay_->pause_submissions(false);
   relay_->drain(
       [this] {
         if (fleet_) fleet_->leave();
@@ -420,7 +425,8 @@
     successor_ready_ = in.number() == kHandoverVersion;
     if (successor_ready_ && ending_ && can_hand_over()) send_prepare();
   } else if (kind == HandoverFrame::prepared) {
-    if (ending_ && can_hand_over() && successor_ready_) hand_over();
+    settle_until_ = SteadyClock::now() + kSettleTimeout;
+    hand_over_when_settled();
   } else if (kind == HandoverFrame::took_over) {
     successor_name_ = in.text();
   } else if (kind == HandoverFrame::answer) {
@@ -441,6 +447,16 @@
   }
 }
 
+void Handover::hand_over_when_settled() {
+  if (!ending_ || !can_hand_over() || !successor_ready_) return;
+  relay_->pause_submissions(true);
+  if (relay_->acceptances_settled() || SteadyClock::now() >= settle_until_) return hand_over();
+  prepare_timer_.expires_after(kSettlePollInterval);
+  prepare_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) hand_over_when_settled();
+  });
+}
+
 void Handover::hand_over() {
   handed_over_ = true;
   prepare_timer_.cancel();
--- a/relay/handover.h
+++ b/relay/handover.h
@@ -65,6 +65,7 @@
   void wait_for_link();
   void send_prepare();
   bool can_hand_over() const;
+  void hand_over_when_settled();
   void hand_over();
   bool successor_alive();
   bool successor_may_start();
@@ -100,6 +101,7 @@
   std::string successor_name_;     // its name among CallOwners, once it has taken over
   bool waiting_for_link_ = false;  // shutting down; the standby's link was lost a moment ago
   std::chrono::steady_clock::time_point end_requested_at_{};
+  std::chrono::steady_clock::time_point settle_until_{};  // a handover waits no longer for acceptances
   std::optional<std::chrono::steady_clock::time_point> link_lost_at_;
   boost::asio::local::stream_protocol::acceptor successor_acceptor_;
   boost::asio::steady_timer listen_timer_, prepare_timer_, usage_timer_, free_space_timer_;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -143,7 +143,7 @@
   auto room =
       journal_.reserve(message.id.size(), message.cls.size() + message.key.size() + message.body.size());
   if (!room) ++counters_.rejected_by_journal;
-  if (!room || closing_ || open_count_ >= config_.settings.max_open) {
+  if (!room || closing_ || submissions_paused_ || open_count_ >= config_.settings.max_open) {
     ++counters_.rejected_without_room;
     return respond(
         {Answer::Kind::refused, std::chrono::milliseconds(whole_ms(config_.settings.max_wait_hint))});
@@ -156,6 +156,7 @@
   open.cls = std::move(message.cls);
   open.destination = message.destination;
   open.deadline = message.deadline;
+  open.submitted_at = SteadyClock::now();
   open.respond = std::move(respond);
   open.room.emplace(std::move(*room));
   ids_.emplace(open.payload->id, id);
@@ -380,13 +381,7 @@
   sort_by_remaining_time(calls);
   const bool journaled = flush_journal();
   for (const auto& [id, answer] : answers) {
-    OpenMessage& open = open_.at(id);
-    MessageTrace::event(open.payload->id, "answered", "kind", name_of(answer.kind));
-    if (copies_) {  // it may have been replicated before its acceptance was confirmed
-      journal_.complete(open.payload->id);
-      copies_->copies().complete(CopyNet::now(), open.payload->id);
-    }
-    std::exchange(open.respond, nullptr)(answer);
+    answer_not_accepted(id, answer);
     close_message(id);
   }
   for (const MessageId id : accepted) {
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -65,6 +65,11 @@
     std::function<void(std::uint64_t call, CallEnd end)> call_ended;
     std::function<bool()> all_reported;
   };
+  // Refuses new messages, or accepts them again, while a handover waits until acceptances_settled().
+  void pause_submissions(bool paused) { submissions_paused_ = paused; }
+  // True if no message waits for its acceptance by other relays. A handover ends the exchange with them, and
+  // what still waits then can only be answered as failed.
+  bool acceptances_settled() const;
   // Runs a last step, stops writing to the journal and returns the state for the successor. Calls in flight
   // end in this process; everything else is as with drain(), which may have begun before.
   RecordWriter hand_over(Successor successor, std::function<void()> done,
@@ -138,6 +143,7 @@
     std::string cls;
     std::uint64_t destination = 0;
     Timestamp deadline;
+    std::chrono::steady_clock::time_point submitted_at{};
     Server::Respond respond;                   // set until the client has its answer
     std::optional<Journal::Reservation> room;  // until the journal has the message
     std::uint32_t listeners = 1;               // connections that submitted it and may get the answer
@@ -259,7 +265,6 @@
   void await_replication(PendingCall call);
   void release_call(PendingCall call, bool succeeded);
   void send_notice_when_replicated(Notice notice, bool durable);
-  void cancel_acceptance(vetchhinge::MessageId id);
   void call_when_recorded(Calls calls);
   void send_notice(Notice notice);
   void on_notice_settled(const std::string& message);
@@ -270,6 +275,20 @@
   void on_expired(const valedrum::copies::Expired& expired);
   void cancel_pending();
 
+  // ------------------------------------------------------------------ relay_refusals.cpp
+  // A refusal that is answered once nobody can act on its message any more.
+  struct PendingRefusal {
+    Server::Respond respond;
+    Answer answer;
+    std::chrono::steady_clock::time_point deadline;  // answered as failed from then on
+  };
+  bool is_repetition_harmless(const OpenMessage& open) const;
+  void answer_not_accepted(vetchhinge::MessageId id, Answer answer);
+  void cancel_acceptance(vetchhinge::MessageId id);
+  void refuse_when_recorded(const std::string& id, PendingRefusal refusal);
+  void refuse_when_replicated(const std::string& id, PendingRefusal refusal);
+  void fail_pending_refusals();
+
   // ------------------------------------------------------------------ relay_waiting.cpp
   void on_unconfirmed_outcome(const std::string& id, std::uint32_t attempt, const CallResult& result);
   void on_unconfirmed_call_ended(std::uint64_t call, CallEnd end);
@@ -286,7 +305,8 @@
   std::unordered_map<std::uint64_t, vetchhinge::MessageId> pending_acceptances_;  // by ticket of the copies
   std::unordered_map<std::uint64_t, PendingCall> pending_calls_;  // by ticket of copies or disk
   std::uint64_t last_disk_ticket_ = kDiskTicketBit;  // of calls that wait for the disk, in place of a ticket
-  std::unordered_map<std::uint64_t, Notice> pending_notices_;  // by ticket of the copies
+  std::unordered_map<std::uint64_t, Notice> pending_notices_;           // by ticket of the copies
+  std::unordered_map<std::uint64_t, PendingRefusal> pending_refusals_;  // by ticket of the copies
   std::unordered_map<std::string, UnconfirmedMessage> unconfirmed_;
   // Messages of which this relay became the owner while its own calls for them were in flight.
   std::unordered_map<std::string, valedrum::copies::OwnershipGained> deferred_ownership_;
@@ -336,6 +356,7 @@
   std::function<void()> on_drained_;
   std::chrono::steady_clock::time_point draining_since_{};
   bool draining_ = false;
+  bool submissions_paused_ = false;
   bool closing_ = false;  // accepts and sends nothing new
 };
 
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -94,21 +94,6 @@
   std::exchange(found->second.respond, nullptr)({Answer::Kind::accepted});
 }
 
-// Cancels an acceptance that could not be made durable or replicated. Its client has no answer yet, so it is
-// asked to submit the message again.
-void Relay::cancel_acceptance(MessageId id) {
-  OpenMessage& open = open_.at(id);
-  const bool may_survive_restart = journal_.may_survive_restart(open.payload->id);
-  journal_.complete(open.payload->id);
-  if (copies_) copies_->copies().complete(CopyNet::now(), open.payload->id);
-  // A client resubmits a refused message, so a restart of this relay must not restore it too.
-  const bool removed = flush_journal() || !may_survive_restart;
-  const Answer::Kind kind = removed ? Answer::Kind::refused : Answer::Kind::failed;
-  if (open.respond) std::exchange(open.respond, nullptr)({kind, whole_ms(config_.settings.max_wait_hint)});
-  post_event(vetchhinge::Withdrawn{id});
-  close_message(id);
-}
-
 void Relay::call_when_recorded(Calls calls) {
   for (DecidedCall& decided : calls) {
     const std::uint64_t withheld = endpoints_.at(decided.host).unsent_cancellations;
@@ -156,13 +141,13 @@
   host_client_.call(call.number, call.host, host.address, std::move(to_send));
 }
 
-// A client resubmits a message that is handed back. If the message may run at most once, no other relay may
-// still be able to send it by then, so its notice waits until the other members know of it. All other notices
-// are sent at once.
+// A client resubmits a message that is handed back. Unless it may run twice, no other relay may still be able
+// to send it by then, so its notice waits until the other members know of it. All other notices are sent at
+// once.
 void Relay::send_notice(Notice notice) {
   const auto found = ids_.find(notice.message);
-  const bool at_most_once = found != ids_.end() && is_at_most_once(open_.at(found->second).cls);
-  const bool waits = notice.handed_back && at_most_once;
+  const bool harmless = found == ids_.end() || is_repetition_harmless(open_.at(found->second));
+  const bool waits = notice.handed_back && !harmless;
   if (copies_)
     copies_->copies().set_pending_notice(CopyNet::now(), notice.message,
                                          {notice.handed_back, notice.retry_in});
@@ -222,6 +207,9 @@
     // and not as handed back to its client.
     notice.handed_back = notice.handed_back && completed.succeeded;
     discovery_.send_notice(std::move(notice));
+  } else if (const auto pending_refusal = pending_refusals_.extract(completed.ticket)) {
+    const PendingRefusal& refusal = pending_refusal.mapped();
+    refusal.respond(completed.succeeded ? refusal.answer : Answer{Answer::Kind::failed, {}});
   }
 }
 
@@ -286,9 +274,12 @@
   const MessageId message = found->second;
   std::erase_if(pending_completions_,
                 [message](const PendingCompletion& end) { return end.message == message; });
-  if (open.respond) {  // not accepted yet: its client may submit it again
+  if (open.respond) {  // not accepted yet, and the new owner may call with it if it has the body
     journal_.complete(id);
-    std::exchange(open.respond, nullptr)({Answer::Kind::refused, whole_ms(config_.settings.max_wait_hint)});
+    const bool harmless = is_repetition_harmless(open) || !copies_->copies().was_sent(id);
+    MessageTrace::event(id, "lost_before_acceptance", "harmless", harmless);
+    const Answer::Kind kind = harmless ? Answer::Kind::refused : Answer::Kind::failed;
+    std::exchange(open.respond, nullptr)({kind, whole_ms(config_.settings.max_wait_hint)});
   } else {
     journal_.complete(id, completion_record(open, CompletedMessage::Reply::accepted));
   }
@@ -323,7 +314,7 @@
     if (!open.completed && open.respond) unanswered.push_back(id);
   }
   for (const MessageId id : unanswered) cancel_acceptance(id);
-  if (!copies_) return;
+  fail_pending_refusals();
   copies_->flush();
   copies_->stop();
 }
--- a/tests/copies_upgrade_test.cpp
+++ b/tests/copies_upgrade_test.cpp
@@ -1,10 +1,8 @@
 // Tests of the handover of a replicating relay with a call in flight: the new process has to wait for the
 // other members before it may act on the message, and the outcome of the call must not be lost meanwhile.
-#include <unistd.h>
-
 #include <array>
 
-#include "handover_fixture.h"
+#include "copies_fixture.h"
 
 namespace myrtlegrade::test {
 namespace {
@@ -13,40 +11,9 @@
 constexpr auto kRetryPause = 100ms;    // after a failed attempt
 constexpr auto kMemberWait = 2 * kMaxStall;
 
-class CopiesUpgradeTest : public HandoverTest {
+class CopiesUpgradeTest : public CopiesTest {
  protected:
-  // Returns an address that no other test and no other relay of this test uses.
-  static std::string at(int relay, const char* port) {
-    const int pid = ::getpid();
-    return "127." + std::to_string(128 + (pid >> 8) % 64) + '.' + std::to_string(pid & 255) + '.' +
-           std::to_string(relay + 1) + ':' + port;
-  }
-
-  void start_relay(std::optional<Process>& process, int n, const std::string& listen) {
-    const std::string name = "n" + std::to_string(n);
-    json::object c = with_aims(with_admin_address(), 6000, 6000);
-    c["name"] = name;
-    c["listen"] = listen;
-    c["fleet"] = json::object{{"name", "f"},     {"bind", at(n, "7300")},
-                              {"machine", name}, {"seeds", {at(0, "7300"), at(1, "7300")}},
-                              {"probe_ms", 250}, {"ack_ms", 100}};
-    c["copies"] = json::object{{"bind", at(n, "7301")}};
-    const fs::path file = folder_ / (name + ".json"), state = folder_ / ("state-" + name);
-    fs::create_directories(state);
-    std::ofstream(file) << json::serialize(c);
-    process.emplace(PROGRAM,
-                    std::map<std::string, std::string>{{"PROXY_CONFIG", file}, {"PROXY_STATE", state}});
-  }
-
-  // Waits until the relay accepts messages, that is, has members that store its copies.
-  bool wait_copied() {
-    const auto limit = SteadyClock::now() + 20s;
-    for (int i = 0; SteadyClock::now() < limit; ++i) {
-      if (submit("warm-" + std::to_string(i), "note", 2) == 202U) return true;
-      std::this_thread::sleep_for(50ms);
-    }
-    return false;
-  }
+  CopiesUpgradeTest() { note_ms_ = refund_ms_ = 6000; }
 
   // Adds a host whose first call waits until end_call(); later calls are answered at once.
   void add_blocking_host() {
@@ -69,9 +36,9 @@
   void start_all() {
     add_host("h", 2, "plain", kAccept);
     add_blocking_host();
-    start_relay(process_, 0, "127.0.0.1:0");
+    start_relay(process_, 0);
     address_ = process_->address();
-    for (int n = 1; n < 3; ++n) start_relay(holders_[static_cast<std::size_t>(n - 1)], n, "127.0.0.1:0");
+    for (int n = 1; n < 3; ++n) start_relay(holders_[static_cast<std::size_t>(n - 1)], n);
     ASSERT_TRUE(wait_copied());
   }
 
