Record calls that an upgrade withholds before the copies stop

What callers saw: after an upgrade of a relay with copies, messages whose call was decided and not yet sent ended as given up, as if they had run.

Cause: hand_over stopped the copies before it withheld these calls, so their file said in flight and the new process took them for calls that may have run. Seen in the trace of the new test: outcome not_sent in the old process, recovered with may_have_run=1 in the new one.

Change: the calls are withheld first.

--- a/relay/relay_handover.cpp
+++ b/relay/relay_handover.cpp
@@ -34,10 +34,11 @@
   draining_ = closing_ = true;
   step_timer_.cancel();
   watch_timer_.cancel();
-  cancel_pending();
   // This process no longer learns of disabled hosts, server backoffs and list changes. Calls that are not
-  // written yet are withheld, and left to the successor's decision.
+  // written yet are withheld, and left to the successor's decision. The copies must still record that they
+  // never ran.
   host_client_.cancel_all_unsent();
+  cancel_pending();
   report_completions(journal_.flush());
   journal_.retire();
   discovery_.stop();
--- a/tests/copies_cut_test.cpp
+++ b/tests/copies_cut_test.cpp
@@ -109,5 +109,31 @@
   EXPECT_EQ(count_deliveries("unsent"), 0U);
 }
 
+// Guards against the same at an upgrade: a message that waits for its acceptance is neither refused, while
+// the new process or a holder may run it, nor failed. The old process waits for the answer before it hands
+// over.
+TEST_F(CopiesCutTest, AnUpgradeWaitsForAcceptances) {
+  add_host("p", 3, "plain", kAccept);
+  start_all();
+  std::optional<Process> next;
+  start_relay(next, 0, address_);
+  ASSERT_TRUE(wait_healthy(next));
+  cut_ = Cut::answers;
+  std::jthread later([this] {
+    std::this_thread::sleep_for(40ms);
+    relays_[0]->signal(SIGTERM);
+    std::this_thread::sleep_for(80ms);
+    cut_ = Cut::none;
+  });
+  for (const unsigned status : submit_together("m", "refund", 3, 8)) EXPECT_EQ(status, 202U);
+  ASSERT_TRUE(wait_log(next, "took over"));
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "m" + std::to_string(i);
+    EXPECT_TRUE(wait_delivered(id)) << id;
+  }
+  std::this_thread::sleep_for(500ms);
+  for (int i = 0; i < 8; ++i) EXPECT_EQ(count_deliveries("m" + std::to_string(i)), 1U);
+}
+
 }  // namespace
 }  // namespace myrtlegrade::test
