Tell the copies that an attempt has ended when its connection has

Cause: on_outcome told the copies the end of the attempt with its outcome; the end of the call was not told. The same at an upgrade: Group's constructor ended the attempts of the old process, whose calls may be open for 3.2 s.

Change: an outcome that proves that nothing ran is told at once, any other with the end of its connection; attempts of earlier processes stay in flight until their calls are known to have ended.

--- a/copies/copies.cpp
+++ b/copies/copies.cpp
@@ -205,6 +205,20 @@
   });
 }
 
+void Copies::end_own_attempts(Time now, const std::string& id, std::optional<std::size_t> still_open) {
+  update_item(now, id, [&](Item& item) {
+    const MemberIndex own = find_group(id)->group.role().index;
+    bool changes = false;
+    for (std::size_t n = 0; n < item.attempts.size(); ++n) {
+      Attempt& attempt = item.attempts[n];
+      if (attempt.sender != own || attempt.state != AttemptState::in_flight || n == still_open) continue;
+      attempt.state = AttemptState::may_have_run;
+      changes = true;
+    }
+    return changes;
+  });
+}
+
 void Copies::set_pending_notice(Time now, const std::string& id, PendingNotice notice) {
   update_item(now, id, [&](Item& item) {
     item.completed = true;
--- a/copies/copies.h
+++ b/copies/copies.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -130,6 +131,8 @@
   void add_local_only(const std::string& id) { local_only_.insert(id); }
   void add_attempt(Time now, const std::string& id, Attempt attempt);
   void set_attempt_state(Time now, const std::string& id, std::size_t attempt, AttemptState state);
+  // Notes that the calls of this member's attempts have ended, but for that of the attempt `still_open`.
+  void end_own_attempts(Time now, const std::string& id, std::optional<std::size_t> still_open);
   // Completes the message, with a notice that the platform has yet to acknowledge.
   void set_pending_notice(Time now, const std::string& id, PendingNotice notice);
   void complete(Time now, const std::string& id);
--- a/copies/group.cpp
+++ b/copies/group.cpp
@@ -21,16 +21,10 @@
   } else {
     if (is_disabled(DisabledSafeguard::durable_promise)) durable_ = {1, 0, std::move(durable_.items)};
     // The owner that this member is bound to is on disk, the end of the lease is not: assume a full lease
-    // from now. If this member was the owner itself, its ownership and its calls ended with the previous
-    // process, and it may request votes at once.
+    // from now. If this member was the owner itself, its ownership ended with the previous process, and it
+    // may request votes at once. Its calls may be open for longer: a process that has handed over ends them.
     const bool own = durable_.owner == role_.index;
     if (!own && !is_disabled(DisabledSafeguard::restart_wait)) promise_expires_at_ = now + settings_.lease;
-    for (auto& [id, item] : durable_.items) {
-      for (Attempt& a : item.attempts) {
-        if (a.sender == role_.index && a.state == AttemptState::in_flight)
-          a.state = AttemptState::may_have_run;
-      }
-    }
   }
   highest_epoch_seen_ = durable_.promised_epoch;
   for (const auto& [id, item] : durable_.items) live_ += item.live() ? 1 : 0;
--- a/lab/copies_world.cpp
+++ b/lab/copies_world.cpp
@@ -608,6 +608,7 @@
       return;
     }
     note(what.id, n, "inherits it");
+    node.copies->end_own_attempts(now_, what.id, std::nullopt);  // no connection of this relay has a call
     const auto ran = [](const copies::Attempt& a) { return a.state != AttemptState::never_ran; };
     const bool astray = std::ranges::find(what.orphaned, true) != what.orphaned.end();
     Held& held = node.held[what.id];
--- a/lab/ownership.cpp
+++ b/lab/ownership.cpp
@@ -403,6 +403,11 @@
     World next = w;
     Node& n = next.nodes[p];
     copies::Item changed = item;
+    // Of a process that was killed: its connections have ended with it.
+    for (copies::Attempt& a : changed.attempts) {
+      if (a.sender == p && a.state == copies::AttemptState::in_flight)
+        a.state = copies::AttemptState::may_have_run;
+    }
     n.inherited = false;
     n.called = static_cast<unsigned>(item.attempts.size());
     const bool none_left = item.attempts.size() >= bounds_.attempts || !item.payload;
--- a/relay/relay.cpp
+++ b/relay/relay.cpp
@@ -189,7 +189,10 @@
 void Relay::on_outcome(HostId host, const CallItem& item, const CallResult& result) {
   OpenMessage& open = open_.at(item.message);
   AttemptInFlight* const attempt = find_attempt(open, item.attempt);
-  if (attempt) attempt->reported = true;
+  if (attempt) {
+    attempt->reported = true;
+    attempt->never_ran = never_ran(result.result);
+  }
   counters_.count_outcome(result.result);
   MessageTrace::event(open.payload->id, "outcome", "attempt", item.attempt, "result", name_of(result.result),
                       "over", result.terminal, "elapsed_ms", whole_ms(result.elapsed).count(), "wait_ms",
@@ -233,12 +236,7 @@
       open.may_have_run = true;
     }
     if (copies_ && result.terminal) copies_->copies().complete(CopyNet::now(), open.payload->id);
-    if (copies_ && !result.terminal) {
-      using valedrum::copies::AttemptState;
-      copies_->copies().set_attempt_state(
-          CopyNet::now(), open.payload->id, item.attempt,
-          never_ran(result.result) ? AttemptState::never_ran : AttemptState::may_have_run);
-    }
+    if (!result.terminal && never_ran(result.result)) replicate_attempt_never_ran(open, item.attempt);
     if (!result.terminal && !may_be_called_again(open)) completion_due_ = true;
   }
   if (result.terminal || open.completed) close_message(item.message);
--- a/relay/relay.h
+++ b/relay/relay.h
@@ -118,7 +118,8 @@
     std::uint64_t call = 0;
     Timestamp sent_at{};
     bool at_predecessor = false;
-    bool reported = false;  // the module has its outcome
+    bool reported = false;   // the module has its outcome
+    bool never_ran = false;  // as that outcome shows
     // Only of an attempt at a predecessor: its outcome, reported once the call has ended.
     std::optional<CallResult> deferred_outcome{};
     bool recorded = false;  // the journal has it as one that may have run
@@ -192,6 +193,9 @@
   std::vector<HandedOverAttempt> calls_in_flight() const;
   AttemptInFlight* find_attempt(OpenMessage& open, std::uint32_t attempt);
   void on_call_ended(std::uint64_t call, CallEnd end);
+  void replicate_attempt_end(const OpenMessage& open, std::uint64_t call);
+  void replicate_attempt_never_ran(const OpenMessage& open, std::uint32_t attempt);
+  void replicate_predecessor_ends(const OpenMessage& open);
   // Reports a call that was decided, and is not sent, as such.
   void withhold_call(std::uint64_t call, vetchhinge::HostId host, const std::vector<CallItem>& items);
   void release_reserved_descriptors();
--- a/relay/relay_calls.cpp
+++ b/relay/relay_calls.cpp
@@ -32,6 +32,7 @@
   log_call_end(number, call.mapped(), end);
   for (const MessageId id : call.mapped().messages) {
     OpenMessage& open = open_.at(id);
+    replicate_attempt_end(open, number);
     const std::size_t ended = std::erase_if(
         open.in_flight, [number](const AttemptInFlight& attempt) { return attempt.call == number; });
     for (std::size_t n = 0; n < ended; ++n) endpoints_.on_call_ended(call.mapped().host);
--- a/relay/relay_copies.cpp
+++ b/relay/relay_copies.cpp
@@ -56,6 +56,33 @@
   copies_->copies().add_attempt(CopyNet::now(), open.payload->id, {host, zone});
 }
 
+void Relay::replicate_attempt_never_ran(const OpenMessage& open, std::uint32_t attempt) {
+  if (!copies_) return;
+  copies_->copies().set_attempt_state(CopyNet::now(), open.payload->id, attempt,
+                                      copies::AttemptState::never_ran);
+}
+
+// The other members count an attempt as in flight until the connection of its call has ended, whatever has
+// been reported of it: a message may time out alone in a call that goes on for others.
+void Relay::replicate_attempt_end(const OpenMessage& open, std::uint64_t call) {
+  if (!copies_ || open.completed) return;
+  for (const AttemptInFlight& attempt : open.in_flight) {
+    if (attempt.call != call || attempt.never_ran) continue;
+    MessageTrace::event(open.payload->id, "call_ended", "attempt", attempt.attempt);
+    copies_->copies().set_attempt_state(CopyNet::now(), open.payload->id, attempt.attempt,
+                                        copies::AttemptState::may_have_run);
+  }
+}
+
+// The same for the attempts of earlier processes of this relay, but for a call that is still known to be
+// open.
+void Relay::replicate_predecessor_ends(const OpenMessage& open) {
+  if (!copies_ || open.completed || open.predecessor_call_open) return;
+  std::optional<std::size_t> still_open;
+  if (!open.in_flight.empty()) still_open = open.in_flight.back().attempt;
+  copies_->copies().end_own_attempts(CopyNet::now(), open.payload->id, still_open);
+}
+
 Relay::~Relay() {
   if (syncer_) syncer_->stop();
   if (copies_) copies_->stop();
@@ -260,6 +287,8 @@
   }
   restore_message(stored, predecessor_call ? &*predecessor_call : nullptr, gained.orphaned);
   if (predecessor_call) apply_reported(*predecessor_call);
+  if (const auto restored = ids_.find(id); restored != ids_.end() && !unknown_predecessor_calls_)
+    replicate_predecessor_ends(open_.at(restored->second));
   schedule_step();
 }
 
--- a/relay/relay_recovery.cpp
+++ b/relay/relay_recovery.cpp
@@ -240,8 +240,12 @@
 
 void Relay::on_all_owners_exited() {
   if (!std::exchange(unknown_predecessor_calls_, false)) return;
-  for (auto& [id, open] : open_) open.predecessor_call_open = false;
+  for (auto& [id, open] : open_) {
+    open.predecessor_call_open = false;
+    replicate_predecessor_ends(open);
+  }
   post_event(vetchhinge::PredecessorCallsEnded{});
+  if (copies_) copies_->flush();
 }
 
 // A predecessor without a file in the state folder can't be watched: its connections count as closed after
--- a/tests/copies_cut_test.cpp
+++ b/tests/copies_cut_test.cpp
@@ -135,5 +135,47 @@
   for (int i = 0; i < 8; ++i) EXPECT_EQ(count_deliveries("m" + std::to_string(i)), 1U);
 }
 
+// Guards against a second copy: two messages of a bulk call time out alone while the call stays open for the
+// other two. Their relay is cut off, and the relay that acts for it must not call with them.
+TEST_F(CopiesCutTest, AMessageThatTimesOutAloneIsNotCalledElsewhereWhileItsCallIsOpen) {
+  constexpr auto kNoteTimedOut = 900ms;
+  add_host("b", 3, "bulk",
+           [this](tcp::socket& socket, Request& request) { return hold_call(socket, request); });
+  start_all();
+  std::vector<std::jthread> clients;
+  for (const char* id : {"a", "b"}) {
+    clients.emplace_back([this, id] { EXPECT_EQ(submit(std::string("note-") + id, "note", 3), 202U); });
+    clients.emplace_back([this, id] { EXPECT_EQ(submit(std::string("refund-") + id, "refund", 3), 202U); });
+  }
+  clients.clear();
+  ASSERT_TRUE(wait_delivered("note-a") && wait_delivered("note-b"));
+  std::this_thread::sleep_for(kNoteTimedOut);
+  cut_ = Cut::all;
+  std::this_thread::sleep_for(2s);  // others act after 1 s, and the call is open for 5 s
+  EXPECT_EQ(overlapping_calls(), std::vector<std::string>{});
+  EXPECT_TRUE(noticed("note-a") && noticed("note-b")) << "another relay acts for the one that is cut off";
+}
+
+// Guards against the same over an upgrade: the new process recorded the old one's attempts as ended while
+// their connections were open.
+TEST_F(CopiesCutTest, ACallOfTheOldProcessIsNotRepeatedElsewhereWhileItIsOpen) {
+  note_ms_ = refund_ms_ = 6000;
+  add_host("p", 3, "plain",
+           [this](tcp::socket& socket, Request& request) { return hold_call(socket, request); });
+  start_all();
+  ASSERT_EQ(submit("m", "note", 3), 202U);
+  ASSERT_TRUE(wait_delivered("m"));
+  std::optional<Process> next;
+  start_relay(next, 0, address_);
+  ASSERT_TRUE(wait_healthy(next));
+  take_over(relays_[0], next);
+  ASSERT_TRUE(wait_log(next, "acts on the messages"));
+  std::this_thread::sleep_for(300ms);
+  cut_ = Cut::all;
+  EXPECT_TRUE(wait_notice("m", "handed_back")) << "another relay acts for the one that is cut off";
+  EXPECT_EQ(overlapping_calls(), std::vector<std::string>{});
+  EXPECT_EQ(count_deliveries("m"), 1U);
+}
+
 }  // namespace
 }  // namespace myrtlegrade::test
--- a/tests/copies_fixture.h
+++ b/tests/copies_fixture.h
@@ -55,6 +55,11 @@
     return false;
   }
 
+  static void take_over(std::optional<Process>& from, std::optional<Process>& to) {
+    from->signal(SIGTERM);
+    ASSERT_TRUE(wait_log(to, "took over"));
+  }
+
   bool noticed(const std::string& id) {
     return watched_.read([&] { return notices_.contains(id); });
   }
--- a/tests/copies_upgrade_test.cpp
+++ b/tests/copies_upgrade_test.cpp
@@ -79,11 +79,6 @@
     return SteadyClock::now();
   }
 
-  static void take_over(std::optional<Process>& from, std::optional<Process>& to) {
-    from->signal(SIGTERM);
-    ASSERT_TRUE(wait_log(to, "took over"));
-  }
-
   void end_call(bool succeeds) {
     watched_.change([&] { call_succeeds_ = succeeds; });
   }
