Wait for a long answer as long as its endpoint writes it

What callers saw: where an endpoint wrote a long answer over 1 s, all messages of a bulk call that had run were told as given up, and single calls were reset in the middle of their answer.

Cause: an answer had 500 ms in all from its first byte, whatever was left of the call's own time-out.

Change: the 500 ms hold between two parts of an answer, the whole until the call's last time-out. An item whose own time passes meanwhile is reported with the answer.

--- a/relay/host_client.cpp
+++ b/relay/host_client.cpp
@@ -32,8 +32,8 @@
 constexpr std::size_t kReadBytes = 4 << 10;
 constexpr std::size_t kUncountedBytes = 4 << 10;  // of an answer, without a part of the budget
 constexpr int kMaxInterimAnswers = 16;            // 1xx answers before the final one
-// An answer that has begun must be complete within this time; otherwise it counts as invalid.
-constexpr auto kAnswerTimeout = 500ms;
+// An answer that has begun and is not complete counts as invalid when nothing of it arrives for this long.
+constexpr auto kAnswerStallTimeout = 500ms;
 // Stray bytes behind an answer have arrived this long after it.
 constexpr auto kSettleTime = 20ms;
 constexpr auto kIdleCheckInterval = 250ms;
@@ -281,10 +281,9 @@
     call.memory = answer_memory_.take(kMaxHeadBytes + kMaxBodyBytes);
     if (!call.memory) co_return false;  // like an answer that is too long
   }
-  if (!std::exchange(call.answer_begun, true)) {
-    call.answer_deadline = std::chrono::steady_clock::now() + kAnswerTimeout;
+  call.answer_deadline = std::min(std::chrono::steady_clock::now() + kAnswerStallTimeout, call.deadline());
+  if (!std::exchange(call.answer_begun, true))
     call.timer.cancel();  // the answer deadline applies from now on
-  }
   co_return true;
 }
 
@@ -384,7 +383,7 @@
 }
 
 void HostClient::report_timed_out(Call& call, SteadyTime now) {
-  if (call.answer_begun || !call.written) return;
+  if (!call.written) return;
   for (std::size_t i = 0; i < call.items.size(); ++i) {
     if (call.item_deadline(i) <= now) report(call, i, {Result::timed_out, false, {}, {}});
   }
@@ -406,7 +405,7 @@
       if (limits_.after_results) limits_.after_results();
       co_return;
     }
-    report_timed_out(*call, now);
+    if (!call->answer_begun) report_timed_out(*call, now);  // else the answer may be about to name the item
     if (limits_.after_results) limits_.after_results();
     const SteadyTime next = std::min(timeout.at, call->arrival_deadline);
     call->timer.expires_at(call->committed ? next : std::min(next, call->connect_deadline));
--- a/relay/host_client_call.h
+++ b/relay/host_client_call.h
@@ -5,6 +5,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -68,6 +69,11 @@
   explicit Call(const boost::asio::any_io_executor& executor) : timer(executor) {}
 
   SteadyTime item_deadline(std::size_t i) const { return SteadyTime(items[i].deadline.time_since_epoch()); }
+  // The latest deadline of an item: the call's own.
+  SteadyTime deadline() const {
+    const auto last = std::ranges::max(items, {}, &CallItem::deadline).deadline;
+    return SteadyTime(last.time_since_epoch());
+  }
   // Closes the connection; the first reason is kept.
   void close(CallEnd reason) {
     boost::system::error_code ignored;
@@ -93,8 +99,8 @@
   bool answer_begun = false;  // the first bytes of the answer have arrived
   bool withheld = false;      // the call was cancelled and must not be sent
   bool closed = false;        // timeouts are no longer enforced: no connection may be opened for the call
-  // Applies once the answer has begun. Without it an invalid answer that never ends would hold its slot until
-  // the message's timeout.
+  // Applies once the answer has begun, and moves on with each part of it. Without it an answer that stops
+  // would hold its slot until the message's timeout.
   SteadyTime answer_deadline = SteadyTime::max();
   // When the host's kernel must have acknowledged a request that had a write deadline.
   SteadyTime arrival_deadline = SteadyTime::max();
