--- a/copies/copies.h
+++ b/copies/copies.h
@@ -100,6 +100,8 @@
 using CopyEvent =
     std::variant<TicketCompleted, OwnershipGained, OwnershipLost, CompletedElsewhere, Expired, LogLine>;
 
+inline constexpr Duration kSweepInterval = std::chrono::milliseconds(100);  // between sweeps over messages
+
 struct CopyCounters {
   std::uint64_t placed = 0;            // messages added to a group
   std::uint64_t under_replicated = 0;  // messages accepted with fewer copies than set
--- a/copies/types.h
+++ b/copies/types.h
@@ -67,6 +67,10 @@
   bool live() const { return !completed || pending_notice; }
 };
 using Items = std::map<std::string, Item, std::less<>>;
+// Returns the bytes of the body and what goes with it, as they count in the budget for bodies.
+inline std::size_t size_of(const Item& item) {
+  return item.payload ? item.payload->body.size() + item.payload->key.size() + item.payload->id.size() : 0;
+}
 
 // What a member stores for its group.
 struct Role {
