Keep clients that rest between requests beside a crowd that sends half of one

What callers saw: with 256 descriptors and 400 peers that stopped half way through a request and came anew, clients that had kept their connections got no answer within 0.4 s.

Cause: a new connection displaced those that rest between two requests before those that had stalled within one, so that a sound client had to connect anew behind the crowd.

Beyond the quarter, and where the system has no descriptors, the order is as before.

--- a/relay/server.cpp
+++ b/relay/server.cpp
@@ -42,7 +42,10 @@
 constexpr auto kWriteTimeout = 2s;
 constexpr auto kLingerTimeout = 500ms;            // for the client to read its last answer
 constexpr std::size_t kMaxLingerBytes = 1 << 20;  // read and discarded meanwhile
-constexpr auto kAcceptRetryPause = 5ms;           // before the next try to accept a connection at the limit
+// Of the connections, for clients that rest between requests: a crowd that sends none, or half of one, does
+// not displace them.
+constexpr double kKeptIdleShare = 0.25;
+constexpr auto kAcceptRetryPause = 5ms;  // before the next try to accept a connection at the limit
 
 // Returns how many bytes of the request have not been read yet; nothing if that is unknown.
 template <typename Parser>
@@ -90,12 +93,16 @@
 // Closes one connection to free its descriptor for a new one, and returns whether it could. Connections with
 // a request that was read are not closed: a client that does not get its answer would have to assume that its
 // message is lost.
-bool Server::shed_connection() {
+bool Server::shed_connection(Shedding shedding) {
   const auto now = Session::Clock::now();
+  const auto is_idle = [](const auto& session) { return session->state == Session::State::idle; };
   while (true) {
+    const auto idle = static_cast<double>(std::ranges::count_if(sessions_, is_idle));
+    const bool keeps_idle = shedding == Shedding::keeps_some_idle &&
+                            idle <= kKeptIdleShare * static_cast<double>(max_connections_);
     Session* victim = nullptr;
     for (const auto& session : sessions_) {
-      if (!session->may_be_shed(now)) continue;
+      if (!session->may_be_shed(now) || (keeps_idle && is_idle(session))) continue;
       if (!victim || std::pair(session->state, session->since) < std::pair(victim->state, victim->since)) {
         victim = session.get();
       }
@@ -150,13 +157,13 @@
     if (error && !acceptor_.is_open()) co_return;
     if (error) {
       // The system may be out of descriptors although this relay has not reached its own limit.
-      if (is_temporary_error(error)) shed_connection();
+      if (is_temporary_error(error)) shed_connection(Shedding::any);
       accept_timer_.expires_after(kAcceptRetryPause);
       co_await accept_timer_.async_wait(kAwait);
       continue;
     }
     // While no connection can be shed, new ones wait in the listen backlog.
-    while (open_sessions_ >= max_connections_ && !shed_connection()) {
+    while (open_sessions_ >= max_connections_ && !shed_connection(Shedding::keeps_some_idle)) {
       accept_timer_.expires_after(kAcceptRetryPause);
       co_await accept_timer_.async_wait(kAwait);
     }
--- a/relay/server.h
+++ b/relay/server.h
@@ -85,7 +85,8 @@
                                                 SubmittedMessage& message) const;
   void send_internal_error(Session& session);
   void log_late_close(const Session& session);
-  bool shed_connection();
+  enum class Shedding { any, keeps_some_idle };
+  bool shed_connection(Shedding shedding);
   void close_idle();
 
   boost::asio::any_io_executor executor_;
