--- a/tests/handover_test.cpp
+++ b/tests/handover_test.cpp
@@ -171,6 +171,8 @@
   std::ofstream(broken) << "now";
   ASSERT_TRUE(wait_notice("m", "given_up"));
   const auto noticed_at = SteadyClock::now();
+  // The notice may come before the endpoint's thread has seen the close.
+  ASSERT_TRUE(watched_.wait([&] { return closed != SteadyClock::time_point{}; }));
   EXPECT_LT(noticed_at - watched_.read([&] { return closed; }), kNoticeTimeout);
 }
 
